--- a/src/main/kotlin/flaxfield/arrays/ArrayDesk.kt
+++ b/src/main/kotlin/flaxfield/arrays/ArrayDesk.kt
@@ -87,8 +87,8 @@
         val use = TeamUse(w.jobs.values, hub.settings.teams)
         val guaranteed = JobOrder.guaranteed(w.jobs.values, hub.settings.teams)
         for (job in JobOrder.sort(waiting, guaranteed, use)) {
-            if (seats.none { it.free.holds(job.spec.need) }) continue
-            placeJob(job, seats, use, term)
+            val fit = seats.filter { it.free.holds(job.spec.need) && hub.reserved.allows(job.spec, it.machine.flavor, it.machine.lendable) }
+            if (fit.isNotEmpty()) placeJob(job, fit, use, term)
         }
     }
 
--- a/src/main/kotlin/flaxfield/arrays/Placement.kt
+++ b/src/main/kotlin/flaxfield/arrays/Placement.kt
@@ -1,9 +1,11 @@
 package flaxfield.arrays
 
+import flaxfield.fleet.Flavor
 import flaxfield.fleet.Machine
 import flaxfield.jobs.Job
 import flaxfield.jobs.JobSpec
 import flaxfield.jobs.Room
+import flaxfield.jobs.Validation
 
 /** A machine as a round sees it; [free] shrinks as the round assumes tasks on it. */
 class Seat(val machine: Machine, val tenure: ULong, var free: Room, val images: Set<String>, val empty: Boolean)
@@ -37,6 +39,27 @@
     }
 }
 
+/**
+ * Which machine types jobs that may use no cheap machines have asked for lately. Ordinary machines of
+ * these types are left to such jobs: an array on the only ordinary machines made gangs wait or evict it.
+ */
+class Reserved {
+    private val untilMs = HashMap<String, Long>()
+
+    /** Notes the jobs in the view; what they asked for stays reserved for [keepMs]. */
+    fun note(jobs: Collection<Job>, flavors: Collection<Flavor>, nowMs: Long, keepMs: Long) {
+        for (j in jobs) {
+            if (j.spec.lendable) continue
+            for (f in flavors) if (Validation.allowed(j.spec, f)) untilMs[f.label] = nowMs + keepMs
+        }
+        untilMs.values.removeIf { it < nowMs }
+    }
+
+    /** Whether tasks of [spec] may be put on machines of this kind. */
+    fun allows(spec: JobSpec, flavor: String, lendable: Boolean): Boolean =
+        lendable || !spec.lendable || flavor !in untilMs
+}
+
 /** Pure: which of a part's machines take which tasks of an array. */
 object ArrayRound {
     /**
--- a/src/main/kotlin/flaxfield/fleet/FleetRules.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetRules.kt
@@ -20,6 +20,11 @@
 /** The result of packing: machines to rent, and the hosts that the demand would use. */
 data class Packing(val rent: Map<Offer, Int>, val usedHosts: Set<String>)
 
+/** Whether tasks of a job may be put on this type and kind (cheap or not). */
+fun interface Suits {
+    operator fun invoke(spec: JobSpec, flavor: String, lendable: Boolean): Boolean
+}
+
 /** Pure decisions on what to rent. */
 object FleetRules {
     /** Tasks looked at in one packing: a huge array must not eat the leader's core. */
@@ -34,6 +39,7 @@
         bins: List<Bin>,
         flavors: Map<String, Flavor>,
         mostNew: Int,
+        suits: Suits,
         price: (Offer) -> Double?,
     ): Packing {
         val all = ArrayList(bins)
@@ -46,10 +52,10 @@
             left -= tasks
             var next = 0
             while (tasks > 0) {
-                while (next < all.size && !takes(all[next], d.spec, rule)) next++
+                while (next < all.size && !takes(all[next], d.spec, rule, suits)) next++
                 if (next >= all.size) {
                     if (new >= mostNew) break
-                    val offer = best(d.spec, tasks, flavors, rule, price) ?: break
+                    val offer = best(d.spec, tasks, flavors, rule, suits, price) ?: break
                     val flavor = flavors.getValue(offer.flavor)
                     rent.merge(offer, 1, Int::plus)
                     new++
@@ -66,8 +72,8 @@
         return Packing(rent, all.mapNotNullTo(HashSet()) { b -> b.host?.takeIf { b.used } })
     }
 
-    private fun takes(bin: Bin, spec: JobSpec, rule: ZoneRule): Boolean =
-        ZoneRule.kindAllowed(spec, bin.flavor, bin.site, bin.lendable) && bin.free.holds(spec.need) && rule.allows(bin.site)
+    private fun takes(bin: Bin, spec: JobSpec, rule: ZoneRule, suits: Suits): Boolean =
+        ZoneRule.kindAllowed(spec, bin.flavor, bin.site, bin.lendable) && suits(spec, bin.flavor, bin.lendable) && bin.free.holds(spec.need) && rule.allows(bin.site)
 
     /** The offer with the lowest price per task that it will really run. */
     private fun best(
@@ -75,8 +81,10 @@
         tasks: Int,
         flavors: Map<String, Flavor>,
         rule: ZoneRule,
+        suits: Suits,
         price: (Offer) -> Double?,
     ): Offer? {
+        val kinds = if (spec.lendable) listOf(true, false) else listOf(false)
         var best: Offer? = null
         var least = Double.MAX_VALUE
         for (f in flavors.values) {
@@ -85,7 +93,8 @@
             if (fits <= 0) continue
             for (site in f.sites) {
                 if (!rule.allows(site)) continue
-                for (lendable in if (spec.lendable) listOf(true, false) else listOf(false)) {
+                for (lendable in kinds) {
+                    if (!suits(spec, f.label, lendable)) continue
                     val offer = Offer(f.label, site, lendable)
                     val cost = (price(offer) ?: continue) / fits
                     if (cost < least) {
--- a/src/main/kotlin/flaxfield/gangs/GangDesk.kt
+++ b/src/main/kotlin/flaxfield/gangs/GangDesk.kt
@@ -63,7 +63,7 @@
 
     private fun wake(seats: List<Seat>) {
         val free = seats.sumOf { it.free.cpus + it.free.gpus }
-        if (free > lastFree) parked.clear()
+        if (free > lastFree) parked.replaceAll { _, p -> Parked(0, p.times) }
         lastFree = free
     }
 
--- a/src/main/kotlin/flaxfield/node/Hub.kt
+++ b/src/main/kotlin/flaxfield/node/Hub.kt
@@ -1,5 +1,6 @@
 package flaxfield.node
 
+import flaxfield.arrays.Reserved
 import flaxfield.fleet.Machine
 import flaxfield.members.Member
 import flaxfield.settings.OperatorSettings
@@ -40,6 +41,11 @@
     /** Keys that a transaction of ours is changing: null while it is open, else the ledger to wait for. */
     private val busy = HashMap<String, ULong?>()
 
+    /** Machine types whose ordinary kind is left to jobs that can use no other. */
+    val reserved = Reserved()
+
+    fun noteReserved() = reserved.note(world.jobs.values, world.flavors.values, nowMs, RESERVED_MS)
+
     /** When the state service last answered us with anything but an error. */
     var stateOkNs: Long = 0
         private set
@@ -108,4 +114,9 @@
         }
         dirty = true
     }
+
+    private companion object {
+        /** As long as the fleet looks back on arrivals. */
+        const val RESERVED_MS = 180_000L
+    }
 }
--- a/src/main/kotlin/flaxfield/node/Node.kt
+++ b/src/main/kotlin/flaxfield/node/Node.kt
@@ -174,6 +174,8 @@
     private fun decide() {
         hub.dirty = false
         hub.caughtUp()
+        safely { workers.noteTerm() }
+        safely { hub.noteReserved() }
         safely { settlement.run() }
         safely { gangs.run() }
         safely { arrays.run() }
--- a/src/main/kotlin/flaxfield/workers/WorkerDesk.kt
+++ b/src/main/kotlin/flaxfield/workers/WorkerDesk.kt
@@ -234,15 +234,22 @@
         return book
     }
 
-    fun tick() {
+    /**
+     * Must run before any decision under a new term: a machine's silence counts from when we became its
+     * owner. Counted from an earlier time, a takeover returned every machine it took over.
+     */
+    fun noteTerm() {
         val term = hub.term()
-        if (term != termSeen) {
-            termSeen = term
-            ownerSinceNs = hub.nowNs
-            for (b in books.values) b.pushedNs = 0
-        }
-        if (term == null || !hub.mayDecide()) return
-        push(term)
+        if (term == termSeen) return
+        termSeen = term
+        ownerSinceNs = hub.nowNs
+        for (b in books.values) b.pushedNs = 0
+    }
+
+    fun tick() {
+        noteTerm()
+        val term = hub.term() ?: return
+        if (hub.mayDecide()) push(term)
     }
 
     /** Tells our workers the epoch when they do not come by themselves: they may be held at a node cut off. */
