--- a/src/main/kotlin/flaxfield/arrays/ArrayDesk.kt
+++ b/src/main/kotlin/flaxfield/arrays/ArrayDesk.kt
@@ -87,7 +87,7 @@
         val use = TeamUse(w.jobs.values, hub.settings.teams)
         val guaranteed = JobOrder.guaranteed(w.jobs.values, hub.settings.teams)
         for (job in JobOrder.sort(waiting, guaranteed, use)) {
-            val fit = seats.filter { it.free.holds(job.spec.need) && hub.reserved.allows(job.spec, it.machine.flavor, it.machine.lendable) }
+            val fit = seats.filter { it.free.holds(job.spec.need) && hub.reserved.fills(job.spec, it.machine.flavor, it.machine.lendable) }
             if (fit.isNotEmpty()) placeJob(job, fit, use, term)
         }
     }
--- a/src/main/kotlin/flaxfield/arrays/Placement.kt
+++ b/src/main/kotlin/flaxfield/arrays/Placement.kt
@@ -55,9 +55,13 @@
         untilMs.values.removeIf { it < nowMs }
     }
 
-    /** Whether tasks of [spec] may be put on machines of this kind. */
-    fun allows(spec: JobSpec, flavor: String, lendable: Boolean): Boolean =
+    /** Whether machines of this kind may be rented for tasks of [spec]. */
+    fun rents(spec: JobSpec, flavor: String, lendable: Boolean): Boolean =
         lendable || !spec.lendable || flavor !in untilMs
+
+    /** Whether tasks of [spec] may fill such a machine while it is free: those that save are cheap to evict. */
+    fun fills(spec: JobSpec, flavor: String, lendable: Boolean): Boolean =
+        spec.saveEveryS > 0.0 || rents(spec, flavor, lendable)
 }
 
 /** Pure: which of a part's machines take which tasks of an array. */
--- a/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
@@ -259,7 +259,7 @@
         }
         // Machines that save a booting one come first: cheap kinds before ordinary ones.
         bins.sortBy { if (it.lendable) 0 else 1 }
-        val packing = FleetRules.pack(demands(), bins, w.flavors, MOST_NEW, hub.reserved::allows) { o ->
+        val packing = FleetRules.pack(demands(), bins, w.flavors, MOST_NEW, hub.reserved::rents) { o ->
             val r = refused[o]
             val f = w.flavors[o.flavor]
             if (f == null || r != null && now < r.untilNs) null else if (o.lendable) f.lowRate else f.rate
