--- a/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
@@ -20,6 +20,8 @@
     private class Refusal(val untilNs: Long, val times: Int)
 
     private var leading = false
+    private var termSeen: ULong? = null
+    private var termSinceNs = 0L
     private var tokens = 0.0
     private var tokensNs = 0L
     private var flavorsOpen = false
@@ -49,6 +51,10 @@
             leading = true
             log.info("leader under term={}: dealing with the cloud", hub.term())
         }
+        if (hub.term() != termSeen) {
+            termSeen = hub.term()
+            termSinceNs = hub.nowNs
+        }
         askFlavors()
         askHires()
         giveBack()
@@ -232,7 +238,8 @@
         return when {
             room.state == HostState.SILENT -> "silent"
             room.state == HostState.FAULTY -> "faulty"
-            room.state == HostState.UNSEEN && on.isEmpty() && hub.nowMs - m.sinceMs > flavor.readyS * BOOT_FACTOR * MS -> "never came up"
+            room.state == HostState.UNSEEN && on.isEmpty() && settled() &&
+                hub.nowMs - m.sinceMs > flavor.readyS * BOOT_FACTOR * MS -> "never came up"
             overdue != null -> "cancelled ${overdue.job.id} is still on it"
             else -> {
                 val idle = idleSinceNs[m.name]
@@ -242,6 +249,12 @@
         }
     }
 
+    /**
+     * Under a new term every machine is unseen until its worker has found its owner: counted from its
+     * rental alone, each takeover returned the idle ones as never having come up.
+     */
+    private fun settled(): Boolean = hub.nowNs - termSinceNs > hub.settings.workers.leaseS * NS
+
     private fun rent() {
         val w = hub.world
         val bins = ArrayList<Bin>()
--- a/src/main/kotlin/flaxfield/gangs/GangDesk.kt
+++ b/src/main/kotlin/flaxfield/gangs/GangDesk.kt
@@ -26,6 +26,9 @@
     private val parked = HashMap<String, Parked>()
     private val claimedSince = HashMap<String, Long>()
 
+    /** Hosts whose claim for a gang is on its way: a second round meanwhile would claim, and clear, others too. */
+    private val claiming = HashMap<String, List<String>>()
+
     /** Free room seen at the last run: more of it wakes the parked. */
     private var lastFree = 0.0
 
@@ -33,6 +36,7 @@
         if (!hub.leads()) {
             parked.clear()
             claimedSince.clear()
+            claiming.clear()
             return
         }
         val term = hub.term() ?: return
@@ -44,8 +48,9 @@
         val use = TeamUse(w.jobs.values, hub.settings.teams)
         val guaranteed = JobOrder.guaranteed(w.jobs.values, hub.settings.teams)
         for ((id, machines) in claims) claimed(id, machines, use, term)
+        claiming.values.removeIf { hosts -> hosts.none { hub.isBusy(Keys.HOST + it) } }
         val waiting = gangs.filter {
-            it.placedCount == 0 && !it.complete && !it.cancelled && it.retryAtMs <= hub.nowMs && it.id !in claims &&
+            it.placedCount == 0 && !it.complete && !it.cancelled && it.retryAtMs <= hub.nowMs && it.id !in claims && it.id !in claiming &&
                 !hub.isBusy(Keys.JOB + it.id) && GangRound.gate(it)
         }
         parked.keys.retainAll(waiting.mapTo(HashSet()) { it.id })
@@ -123,7 +128,9 @@
         val sent = hub.commit(Cause.GANG, Txn(conditions, changes)) { outcome ->
             log.info("job={} term={} claims={} evict={} outcome={}", job.id, term, perHost.keys.map { it.name }, evict, outcome)
         }
-        if (!sent) {
+        if (sent) {
+            claiming[job.id] = perHost.keys.map { it.name }
+        } else {
             for (s in seats.values) s.free += job.spec.need
             log.debug("job={} claim waits for the write budget", job.id)
         }
