--- a/src/main/kotlin/flaxfield/cli/Main.kt
+++ b/src/main/kotlin/flaxfield/cli/Main.kt
@@ -14,6 +14,7 @@
 
 private const val VERSION = "0.1.0"
 private const val EXIT_USAGE = 2
+private const val EXIT_FAULT = 3
 
 /** The command line; the model is built by hand, since annotations would cost reflection at every start. */
 fun commandLine(): CommandLine {
@@ -53,6 +54,10 @@
         Node(settings, operator, incarnation()).serve()
     } catch (e: MalformedException) {
         fail(e.message ?: "bad settings")
+    } catch (e: Throwable) {
+        // The owner thread is gone: a process that only answers from the network would be worse than none.
+        System.err.println("flaxfield: ended by $e")
+        Runtime.getRuntime().halt(EXIT_FAULT)
     }
 }
 
--- a/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
@@ -305,11 +305,17 @@
             val n = minOf(j.pendingCount, use.allows(j.spec.owner, j.spec.need))
             if (n <= 0 || j.isGang && n < j.spec.shards) continue
             use.add(j.spec.owner, j.spec.need * n)
-            result += Demand(j.spec, n)
+            result += Demand(j.spec, n, pressing(j))
         }
         return result + FleetRules.spares(lastOfClass.values.toList(), rates(), ::lead, hub.operator.spareFactor)
     }
 
+    /** Ordinary machines cost several times as much: only a job that would miss its aim is worth one. */
+    private fun pressing(j: Job): Boolean {
+        val within = hub.settings.objectives.filter { it.jobClass == j.spec.jobClass }.maxOfOrNull { it.withinS } ?: return true
+        return hub.nowMs - j.submittedMs > within * PRESSING_SHARE * MS
+    }
+
     /** What a job of this shape waits for on a fresh machine: boot and image. */
     private fun lead(spec: JobSpec): Double {
         val f = hub.world.flavors.values.filter { flaxfield.jobs.Validation.allowed(spec, it) }.minByOrNull { it.rate } ?: return 0.0
@@ -354,6 +360,9 @@
 
         /** A cancelled task still there after this share of `cancel_s` costs its machine. */
         const val CANCEL_SHARE = 0.5
+
+        /** A job that has waited this share of its longest aim is pressing. */
+        const val PRESSING_SHARE = 0.3
         const val RATE_WINDOW_S = 120.0
         const val MOST_ARRIVALS = 200
     }
--- a/src/main/kotlin/flaxfield/fleet/FleetRules.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetRules.kt
@@ -15,7 +15,12 @@
 data class Offer(val flavor: String, val site: String, val lendable: Boolean)
 
 /** Queued work as the fleet sees it: [tasks] more tasks like those of [spec]. */
-data class Demand(val spec: JobSpec, val tasks: Int)
+data class Demand(
+    val spec: JobSpec,
+    val tasks: Int,
+    /** It has waited so long that machines of the ordinary kind may be rented though cheap ones would do. */
+    val pressing: Boolean = false,
+)
 
 /** The result of packing: machines to rent, and the hosts that the demand would use. */
 data class Packing(val rent: Map<Offer, Int>, val usedHosts: Set<String>)
@@ -55,7 +60,7 @@
                 while (next < all.size && !takes(all[next], d.spec, rule, suits)) next++
                 if (next >= all.size) {
                     if (new >= mostNew) break
-                    val offer = best(d.spec, tasks, flavors, rule, suits, price) ?: break
+                    val offer = best(d, tasks, flavors, rule, suits, price) ?: break
                     val flavor = flavors.getValue(offer.flavor)
                     rent.merge(offer, 1, Int::plus)
                     new++
@@ -77,14 +82,15 @@
 
     /** The offer with the lowest price per task that it will really run. */
     private fun best(
-        spec: JobSpec,
+        demand: Demand,
         tasks: Int,
         flavors: Map<String, Flavor>,
         rule: ZoneRule,
         suits: Suits,
         price: (Offer) -> Double?,
     ): Offer? {
-        val kinds = if (spec.lendable) listOf(true, false) else listOf(false)
+        val spec = demand.spec
+        val kinds = if (!spec.lendable) listOf(false) else if (demand.pressing) listOf(true, false) else listOf(true)
         var best: Offer? = null
         var least = Double.MAX_VALUE
         for (f in flavors.values) {
--- a/src/main/kotlin/flaxfield/settings/Properties.kt
+++ b/src/main/kotlin/flaxfield/settings/Properties.kt
@@ -8,9 +8,9 @@
 /** Operators' own settings: a Java-style properties file, checked key by key at the start. */
 data class OperatorSettings(
     /** Idle machines are kept this many boot times before they are returned. */
-    val keepIdleBoots: Double = 3.0,
+    val keepIdleBoots: Double = 1.5,
     /** Spare machines per gang class, as a multiple of what the class asks for in one boot and fetch. */
-    val spareFactor: Double = 1.0,
+    val spareFactor: Double = 0.6,
     /** Commands the owner thread holds before the first stage refuses. */
     val queueCommands: Int = 512,
     /** Finished jobs remembered in memory; older ones are read from the state service. */
