Images are known across takeovers; gangs take warm machines before fetching slowly

Cause: reports made a machine's book without the earlier owner's summary, so images were forgotten at each takeover; and gangs took empty machines without their image where evicting an array is quicker.

--- a/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
@@ -271,7 +271,8 @@
             repeat(h.count) { bins += Bin(null, h.flavor, h.site, h.lendable, room) }
         }
         // Machines that save a booting one come first: cheap kinds before ordinary ones.
-        bins.sortBy { if (it.lendable) 0 else 1 }
+        // Among the ordinary ones those with images, so that spares are kept where gangs start soonest.
+        bins.sortWith(compareBy({ if (it.lendable) 0 else 1 }, { -(it.host?.let(w::hostRoom)?.images?.size ?: 0) }))
         val packing = FleetRules.pack(demands(), bins, w.flavors, MOST_NEW, hub.reserved::rents) { o ->
             val r = refused[o]
             val f = w.flavors[o.flavor]
--- a/src/main/kotlin/flaxfield/gangs/GangDesk.kt
+++ b/src/main/kotlin/flaxfield/gangs/GangDesk.kt
@@ -87,27 +87,40 @@
 
     private fun round(job: Job, seats: List<Seat>, use: TeamUse, guaranteed: Set<String>, term: ULong) {
         if (use.allows(job.spec.owner, job.spec.need) < job.spec.shards) return park(job, "the team's limit")
-        when (val r = GangRound.run(job, seats)) {
-            is Round.Full -> claim(job, r.seats, evict = false, term)
-            is Round.Short -> {
-                val cleared = withEviction(job, seats, use, job.id in guaranteed)
-                val second = if (cleared == null) r else GangRound.run(job, cleared)
-                if (second is Round.Full) {
-                    claim(job, second.seats, evict = true, term)
-                } else {
-                    park(job, "short: assumed ${r.assumed}, left ${r.left}")
-                }
+        val plain = GangRound.run(job, seats)
+        if (plain is Round.Full && (warm(job, plain) || !fetchIsSlow(job, plain))) return claim(job, plain.seats, evict = false, term)
+        // Without room, or only where the image must be fetched for longer than tasks take to make way.
+        val cleared = withEviction(job, seats, use, job.id in guaranteed)
+        val second = cleared?.let { GangRound.run(job, it) }
+        when {
+            second is Round.Full && (plain is Round.Short || warm(job, second)) -> {
+                if (plain is Round.Full) giveBack(job, plain)
+                claim(job, second.seats, evict = true, term)
             }
+            plain is Round.Full -> claim(job, plain.seats, evict = false, term)
+            plain is Round.Short -> park(job, "short: assumed ${plain.assumed}, left ${plain.left}")
         }
     }
 
+    private fun warm(job: Job, r: Round.Full) = r.seats.values.all { job.spec.bundle in it.images }
+
+    /** Whether the image takes longer to fetch than tasks that save take to make way. */
+    private fun fetchIsSlow(job: Job, r: Round.Full): Boolean {
+        val rate = r.seats.values.mapNotNull { hub.world.flavors[it.machine.flavor]?.fetchGbPerS }.minOrNull() ?: return false
+        return job.spec.pullGb / rate > hub.settings.workers.reportS * CLAIM_REPORTS
+    }
+
+    private fun giveBack(job: Job, r: Round.Full) {
+        for (s in r.seats.values) s.free += job.spec.need
+    }
+
     /** The seats as they would be without the tasks that this gang may take the place of. */
     private fun withEviction(job: Job, seats: List<Seat>, use: TeamUse, guaranteed: Boolean): List<Seat>? {
         var any = false
         val cleared = seats.map { s ->
             var free = s.free
             for (r in hub.world.on(s.machine.name)) {
-                if (r.placed.stopping || r.job.cancelled || !r.job.isGang && JobOrder.mayPreempt(job, guaranteed, r.job, use)) {
+                if (r.placed.stopping || r.job.cancelled || mayEvict(job, guaranteed, r.job, use)) {
                     free += r.job.spec.need
                     any = true
                 }
@@ -117,6 +130,9 @@
         return if (any) cleared else null
     }
 
+    private fun mayEvict(job: Job, guaranteed: Boolean, other: Job, use: TeamUse) =
+        !other.isGang && JobOrder.mayPreempt(job, guaranteed, other, use)
+
     private fun claim(job: Job, seats: Map<Int, Seat>, evict: Boolean, term: ULong) {
         val perHost = seats.values.groupingBy { it.machine }.eachCount()
         if (perHost.size > hub.settings.stateLimits.txnOps) return park(job, "more machines than one transaction takes")
--- a/src/main/kotlin/flaxfield/workers/WorkerDesk.kt
+++ b/src/main/kotlin/flaxfield/workers/WorkerDesk.kt
@@ -42,7 +42,7 @@
         }
         val assignment = hub.world.assignment
         val term = hub.term()
-        val book = books.getOrPut(report.host) { HostBook(report.host) }
+        val book = book(report.host)
         when {
             assignment == null || report.epoch > assignment.term || term == null -> withoutTerm(report, reply)
             hub.owns(report.host, report.site) -> own(report, book, term, reply)
@@ -69,7 +69,7 @@
         }
         val term = hub.term()
         if (term == null || report.epoch > term || !hub.owns(report.host, report.site)) return
-        own(report, books.getOrPut(report.host) { HostBook(report.host) }, term, reply)
+        own(report, book(report.host), term, reply)
     }
 
     /**
@@ -225,13 +225,14 @@
         return hub.nowNs - lastReportNs < hub.settings.workers.reportS * HEARD_REPORTS * NS
     }
 
-    fun book(host: String): HostBook {
-        val known = books[host]
-        if (known != null) return known
-        val book = HostBook(host)
-        hub.world.rooms.values.firstNotNullOfOrNull { it.hosts[host] }?.let(book::inherit)
-        books[host] = book
-        return book
+    /**
+     * What we know of a machine; at first what its earlier owners' summaries knew. Without that, a takeover
+     * forgot which images machines hold, and gangs waited for fetches that others would have been spared.
+     */
+    fun book(host: String): HostBook = books.getOrPut(host) {
+        HostBook(host).also { b ->
+            hub.world.rooms.values.mapNotNull { it.hosts[host] }.maxByOrNull { it.images.size }?.let(b::inherit)
+        }
     }
 
     /**
