--- a/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
@@ -38,8 +38,8 @@
     private val failed = HashSet<String>()
 
     /** When jobs of a class came, for the spare machines; filled from the view. */
-    private val arrivals = HashMap<String, ArrayDeque<Pair<String, Long>>>()
-    private val lastOfClass = HashMap<String, Job>()
+    private val arrivals = HashMap<String, ArrayDeque<Job>>()
+    private val counted = HashSet<String>()
 
     fun run() {
         watchArrivals()
@@ -308,7 +308,7 @@
             use.add(j.spec.owner, j.spec.need * n)
             result += Demand(j.spec, n, pressing(j))
         }
-        return result + FleetRules.spares(lastOfClass.values.toList(), rates(), ::lead, hub.operator.spareFactor)
+        return result + FleetRules.spares(rates(), ::lead, hub.operator.spareFactor, hub.operator.arraySpareFactor)
     }
 
     /** Ordinary machines cost several times as much: only a job that would miss its aim is worth one. */
@@ -323,21 +323,23 @@
         return f.readyS + spec.pullGb / f.fetchGbPerS
     }
 
-    private fun rates(): Map<String, Double> = arrivals.mapValues { (_, seen) ->
+    private fun rates(): List<ClassRate> {
         val from = hub.nowMs - (RATE_WINDOW_S * MS).toLong()
-        while (seen.isNotEmpty() && seen.first().second < from) seen.removeFirst()
-        seen.size / RATE_WINDOW_S
+        return arrivals.values.mapNotNull { seen ->
+            while (seen.isNotEmpty() && seen.first().submittedMs < from) seen.removeFirst()
+            seen.lastOrNull()?.let { last -> ClassRate(last.spec, seen.sumOf { it.spec.shards } / RATE_WINDOW_S) }
+        }
     }
 
     private fun watchArrivals() {
+        val from = hub.nowMs - RATE_WINDOW_S * MS
         for (j in hub.world.jobs.values) {
-            if (!j.isGang) continue
+            if (j.submittedMs < from || !counted.add(j.id)) continue
             val seen = arrivals.getOrPut(j.spec.jobClass) { ArrayDeque() }
-            if (seen.any { it.first == j.id } || j.submittedMs < hub.nowMs - RATE_WINDOW_S * MS) continue
-            seen.addLast(j.id to j.submittedMs)
+            seen.addLast(j)
             if (seen.size > MOST_ARRIVALS) seen.removeFirst()
-            lastOfClass[j.spec.jobClass] = j
         }
+        if (counted.size > MOST_COUNTED) counted.retainAll(hub.world.jobs.keys)
     }
 
     private companion object {
@@ -366,5 +368,6 @@
         const val PRESSING_SHARE = 0.3
         const val RATE_WINDOW_S = 120.0
         const val MOST_ARRIVALS = 200
+        const val MOST_COUNTED = 10_000
     }
 }
--- a/src/main/kotlin/flaxfield/fleet/FleetRules.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetRules.kt
@@ -1,7 +1,6 @@
 package flaxfield.fleet
 
 import flaxfield.arrays.ZoneRule
-import flaxfield.jobs.Job
 import flaxfield.jobs.JobSpec
 import flaxfield.jobs.Room
 import flaxfield.jobs.Shape
@@ -114,15 +113,20 @@
     }
 
     /**
-     * Spare demand for classes whose aims on waiting are shorter than a boot and a fetch: as many tasks as
-     * arrive in that time.
+     * Spare demand: as many tasks of each class as arrive while a machine boots and fetches, times the
+     * factor of their shape. Arrays get spares only of the cheap kind.
      */
-    fun spares(recent: List<Job>, ratePerS: Map<String, Double>, leadS: (JobSpec) -> Double, factor: Double): List<Demand> =
-        recent.filter { it.spec.shape == Shape.GANG }
-            .groupBy { it.spec.jobClass }
-            .mapNotNull { (name, jobs) ->
-                val spec = jobs.maxBy { it.submittedMs }.spec
-                val n = Math.ceil((ratePerS[name] ?: 0.0) * leadS(spec) * factor).toInt()
-                if (n > 0) Demand(spec, n * spec.shards) else null
+    fun spares(classes: List<ClassRate>, leadS: (JobSpec) -> Double, gangFactor: Double, arrayFactor: Double): List<Demand> =
+        classes.mapNotNull { c ->
+            val factor = when {
+                c.latest.shape == Shape.GANG -> gangFactor
+                c.latest.lendable -> arrayFactor
+                else -> 0.0
             }
+            val n = Math.ceil(c.tasksPerS * leadS(c.latest) * factor).toInt()
+            if (n > 0) Demand(c.latest, n) else null
+        }
 }
+
+/** How fast tasks of a class arrive, and its latest job as a pattern for the next ones. */
+data class ClassRate(val latest: JobSpec, val tasksPerS: Double)
--- a/src/main/kotlin/flaxfield/jobs/JobDesk.kt
+++ b/src/main/kotlin/flaxfield/jobs/JobDesk.kt
@@ -52,7 +52,10 @@
         val sent = hub.commit(Cause.SUBMIT, txn) { outcome ->
             when (outcome) {
                 is Outcome.Committed -> {
-                    log.info("job={} class={} owner={} tasks={} accepted", spec.id, spec.jobClass, spec.owner, spec.shards)
+                    log.info(
+                        "job={} class={} owner={} tasks={} bundle={} pull_gb={} expect_s={} accepted",
+                        spec.id, spec.jobClass, spec.owner, spec.shards, spec.bundle, spec.pullGb, spec.expectS,
+                    )
                     answer(reply, 201, mapOf("id" to spec.id, "phase" to "pending"))
                 }
                 // Known already: its state is answered as to any poll.
--- a/src/main/kotlin/flaxfield/settings/Properties.kt
+++ b/src/main/kotlin/flaxfield/settings/Properties.kt
@@ -11,6 +11,8 @@
     val keepIdleBoots: Double = 1.5,
     /** Spare machines per gang class, as a multiple of what the class asks for in one boot and fetch. */
     val spareFactor: Double = 0.6,
+    /** The same for classes of arrays that may use cheap machines. */
+    val arraySpareFactor: Double = 0.6,
     /** Commands the owner thread holds before the first stage refuses. */
     val queueCommands: Int = 512,
     /** Finished jobs remembered in memory; older ones are read from the state service. */
@@ -36,6 +38,7 @@
                 result = when (key) {
                     "fleet.keep-idle-boots" -> result.copy(keepIdleBoots = decimal(key, value, 0.0, 1000.0))
                     "fleet.spare-factor" -> result.copy(spareFactor = decimal(key, value, 0.0, 100.0))
+                    "fleet.array-spare-factor" -> result.copy(arraySpareFactor = decimal(key, value, 0.0, 100.0))
                     "node.queue-commands" -> result.copy(queueCommands = whole(key, value, 16, 100_000))
                     "jobs.finished-cache" -> result.copy(finishedCache = whole(key, value, 0, 1_000_000))
                     else -> throw MalformedException("unknown property '$key'")
--- a/src/main/kotlin/flaxfield/workers/WorkerDesk.kt
+++ b/src/main/kotlin/flaxfield/workers/WorkerDesk.kt
@@ -115,6 +115,7 @@
             return keepAlive(term, reply)
         }
         learn(report, book)
+        if (log.isDebugEnabled) changes(last, report)
         if (report.warningS != null) drain(report, term)
         val records = hub.world.on(report.host)
         val decision = Orders.decide(report, records, term, mayLaunch = machine.phase == MachinePhase.UP)
@@ -149,6 +150,13 @@
         }
     }
 
+    private fun changes(last: Report?, now: Report) {
+        for (t in now.tasks) {
+            val before = last?.tasks?.firstOrNull { it.job == t.job && it.index == t.index && it.attempt == t.attempt }
+            if (before?.state != t.state) log.debug("job={} task={} attempt={} host={} state={} cause={}", t.job, t.index, t.attempt, now.host, t.state, t.cause)
+        }
+    }
+
     private fun blame(e: TaskEvent, book: HostBook) {
         if (e is TaskEvent.Done) book.errors = 0
         if (e !is TaskEvent.Left || !e.failed || book.faulty != null) return
