--- a/src/main/kotlin/flaxfield/gangs/GangRound.kt
+++ b/src/main/kotlin/flaxfield/gangs/GangRound.kt
@@ -51,8 +51,6 @@
         val minimum = minimum(job)
         val order = fit.sortedWith(
             compareBy<Seat> { if (spec.bundle in it.images) 0 else 1 }
-                // A machine with many images serves many: it is left for a gang that finds no other.
-                .thenBy { it.images.size }
                 .thenBy { if (it.empty) 0 else 1 }
                 .thenBy { if (spec.lendable && !it.machine.lendable) 1 else 0 }
                 .thenBy { it.free.gpus }
--- a/src/main/kotlin/flaxfield/settings/Properties.kt
+++ b/src/main/kotlin/flaxfield/settings/Properties.kt
@@ -12,7 +12,7 @@
     /** Spare machines per gang class, as a multiple of what the class asks for in one boot and fetch. */
     val spareFactor: Double = 0.6,
     /** The same for classes of arrays that may use cheap machines. */
-    val arraySpareFactor: Double = 0.6,
+    val arraySpareFactor: Double = 0.0,
     /** Commands the owner thread holds before the first stage refuses. */
     val queueCommands: Int = 512,
     /** Finished jobs remembered in memory; older ones are read from the state service. */
