--- a/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
@@ -365,7 +365,7 @@
         const val CANCEL_SHARE = 0.5
 
         /** A job that has waited this share of its longest aim is pressing. */
-        const val PRESSING_SHARE = 0.3
+        const val PRESSING_SHARE = 0.5
         const val RATE_WINDOW_S = 120.0
         const val MOST_ARRIVALS = 200
         const val MOST_COUNTED = 10_000
