--- a/src/main/kotlin/flaxfield/arrays/ArrayDesk.kt
+++ b/src/main/kotlin/flaxfield/arrays/ArrayDesk.kt
@@ -105,7 +105,7 @@
         } else {
             emptyList()
         }
-        val most = minOf(use.allows(team.name, job.spec.need), MOST_PER_JOB)
+        val most = minOf(use.allows(team.name, job.spec.need, hub.reserved.ofLimit(team.name)), MOST_PER_JOB)
         val found = ArrayRound.place(job, seats, ZoneRule(job.spec, sites), offset(job), most)
         if (found.isEmpty()) return
         val next = job.place(found.mapValues { (_, s) -> Job.Host(s.machine.name, s.tenure) })
--- a/src/main/kotlin/flaxfield/arrays/Placement.kt
+++ b/src/main/kotlin/flaxfield/arrays/Placement.kt
@@ -45,6 +45,8 @@
  */
 class Reserved {
     private val untilMs = HashMap<String, Long>()
+    private val gangs = HashMap<String, Job>()
+    private var waiting: Map<String, Room> = emptyMap()
 
     /** Notes the jobs in the view; what they asked for stays reserved for [keepMs]. */
     fun note(jobs: Collection<Job>, flavors: Collection<Flavor>, nowMs: Long, keepMs: Long) {
@@ -53,8 +55,19 @@
             for (f in flavors) if (Validation.allowed(j.spec, f)) untilMs[f.label] = nowMs + keepMs
         }
         untilMs.values.removeIf { it < nowMs }
+        for (j in jobs) if (j.isGang && (gangs[j.spec.owner]?.submittedMs ?: 0L) < j.submittedMs) gangs[j.spec.owner] = j
+        gangs.values.removeIf { it.submittedMs < nowMs - keepMs }
+        waiting = jobs.filter { it.isGang && !it.cancelled && it.placedCount == 0 }.groupBy { it.spec.owner }
+            .mapValues { (_, list) -> list.fold(Room.NONE) { sum, j -> sum + j.spec.need * j.spec.shards } }
     }
 
+    /**
+     * The part of a team's limit that its arrays leave free: what its waiting gangs need, or its latest
+     * one's need for the next. Arrays that filled the limit made the team's gangs wait for minutes.
+     */
+    fun ofLimit(team: String): Room =
+        waiting[team] ?: gangs[team]?.let { it.spec.need * it.spec.shards } ?: Room.NONE
+
     /** Whether machines of this kind may be rented for tasks of [spec]. */
     fun rents(spec: JobSpec, flavor: String, lendable: Boolean): Boolean =
         lendable || !spec.lendable || flavor !in untilMs
--- a/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
@@ -3,6 +3,7 @@
 import flaxfield.arrays.HostState
 import flaxfield.jobs.Job
 import flaxfield.jobs.JobSpec
+import flaxfield.jobs.Room
 import flaxfield.jobs.Settlement
 import flaxfield.jobs.TaskEvent
 import flaxfield.node.Hub
@@ -303,7 +304,8 @@
         val waiting = w.jobs.values.filter { it.pendingCount > 0 && !it.cancelled && it.id !in claimed && it.retryAtMs <= hub.nowMs }
         val result = ArrayList<Demand>()
         for (j in JobOrder.sort(waiting, guaranteed, use)) {
-            val n = minOf(j.pendingCount, use.allows(j.spec.owner, j.spec.need))
+            val kept = if (j.isGang) Room.NONE else hub.reserved.ofLimit(j.spec.owner)
+            val n = minOf(j.pendingCount, use.allows(j.spec.owner, j.spec.need, kept))
             if (n <= 0 || j.isGang && n < j.spec.shards) continue
             use.add(j.spec.owner, j.spec.need * n)
             result += Demand(j.spec, n, pressing(j))
--- a/src/main/kotlin/flaxfield/quota/Quota.kt
+++ b/src/main/kotlin/flaxfield/quota/Quota.kt
@@ -18,10 +18,10 @@
         used[team] = of(team) + room
     }
 
-    /** How many more tasks of size [need] the team's limit allows now. */
-    fun allows(team: String, need: Room): Int {
+    /** How many more tasks of size [need] the team's limit allows now, less what is [kept] for others of it. */
+    fun allows(team: String, need: Room, kept: Room = Room.NONE): Int {
         val t = teams[team] ?: return 0
-        val u = of(team)
+        val u = of(team) + kept
         return minOf(parts(t.cpusMax, u.cpus, need.cpus), parts(t.gpusMax, u.gpus, need.gpus))
     }
 
