--- a/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
@@ -1,6 +1,7 @@
 package flaxfield.fleet
 
 import flaxfield.arrays.HostState
+import flaxfield.arrays.ZoneRule
 import flaxfield.jobs.Job
 import flaxfield.jobs.JobSpec
 import flaxfield.jobs.Room
@@ -313,10 +314,15 @@
         return result + FleetRules.spares(rates(), ::lead, hub.operator.spareFactor, hub.operator.arraySpareFactor)
     }
 
-    /** Ordinary machines cost several times as much: only a job that would miss its aim is worth one. */
+    /**
+     * Ordinary machines cost several times as much as cheap ones: a job that may use both gets them only
+     * when it is long late, or soon when there are no cheap ones for it at all.
+     */
     private fun pressing(j: Job): Boolean {
-        val within = hub.settings.objectives.filter { it.jobClass == j.spec.jobClass }.maxOfOrNull { it.withinS } ?: return true
-        return hub.nowMs - j.submittedMs > within * PRESSING_SHARE * MS
+        val within = hub.settings.objectives.filter { it.jobClass == j.spec.jobClass }.maxOfOrNull { it.withinS }
+            ?: hub.settings.workers.cancelS
+        val cheap = hub.world.machines.values.any { it.lendable && ZoneRule.kindAllowed(j.spec, it.flavor, it.site, true) }
+        return hub.nowMs - j.submittedMs > within * (if (cheap) PRESSING_SHARE else PRESSING_SHARE_ALONE) * MS
     }
 
     /** What a job of this shape waits for on a fresh machine: boot and image. */
@@ -366,8 +372,9 @@
         /** A cancelled task still there after this share of `cancel_s` costs its machine. */
         const val CANCEL_SHARE = 0.5
 
-        /** A job that has waited this share of its longest aim is pressing. */
-        const val PRESSING_SHARE = 0.5
+        /** A job that has waited this share of its longest aim is pressing; sooner where nothing cheap is to be had. */
+        const val PRESSING_SHARE = 2.0
+        const val PRESSING_SHARE_ALONE = 0.2
         const val RATE_WINDOW_S = 120.0
         const val MOST_ARRIVALS = 200
         const val MOST_COUNTED = 10_000
