--- a/src/main/kotlin/flaxfield/arrays/RoomSummary.kt
+++ b/src/main/kotlin/flaxfield/arrays/RoomSummary.kt
@@ -42,7 +42,7 @@
             row as List<*>
             row[0] as String to HostRoom(
                 HostState.entries[(row[1] as Number).toInt()],
-                (row[2] as Number).toLong().toULong(),
+                Obj.needCount(row[2]),
                 row[3] as String,
                 (row[4] as List<*>).map { it as String },
             )
--- a/src/main/kotlin/flaxfield/codec/Wire.kt
+++ b/src/main/kotlin/flaxfield/codec/Wire.kt
@@ -18,7 +18,7 @@
  * CBOR and JSON bodies as plain trees of maps, lists, text, numbers, booleans and null.
  *
  * Only Jackson's streaming interface is used: data binding would cost memory and start-up time.
- * Counts are unsigned 64-bit: those above 2^63-1 are held as the negative [Long] of the same bits.
+ * Counts are unsigned 64-bit: those above 2^63-1 are held as [ULong], all other integers as [Long].
  */
 object Wire {
     private const val MAX_DEPTH = 32
@@ -86,7 +86,7 @@
         JsonToken.VALUE_NUMBER_INT -> if (p.numberType == JsonParser.NumberType.BIG_INTEGER) {
             val big = p.bigIntegerValue
             if (big.signum() < 0 || big.bitLength() > ULONG_BITS) throw MalformedException("number too large")
-            big.toLong()
+            big.toLong().toULong()
         } else {
             p.longValue
         }
@@ -139,17 +139,16 @@
 
     fun needText(key: String): String = text(key) ?: bad(key)
 
-    fun number(key: String): Double? = (map[key] as? Number)?.toDouble()
+    fun number(key: String): Double? = when (val v = map[key]) {
+        is Number -> v.toDouble()
+        is ULong -> v.toDouble()
+        else -> null
+    }
 
     fun needNumber(key: String): Double = number(key) ?: bad(key)
 
     /** A count, version, token or attempt: an unsigned 64-bit integer. */
-    fun count(key: String): ULong? = when (val v = map[key]) {
-        is Long -> v.toULong()
-        is Int -> v.toLong().toULong()
-        is Double -> if (v >= 0 && v < EXACT && v % 1.0 == 0.0) v.toLong().toULong() else null
-        else -> null
-    }
+    fun count(key: String): ULong? = toCount(map[key])
 
     fun needCount(key: String): ULong = count(key) ?: bad(key)
 
@@ -175,7 +174,19 @@
 
     private fun bad(key: String): Nothing = throw MalformedException("$key is missing or invalid")
 
-    private companion object {
-        const val EXACT = 9.0e15
+    companion object {
+        /** Above this a double no longer tells neighbouring integers apart. */
+        private const val EXACT = 9.0e15
+
+        /** The value as a count, or null if it is negative, broken or no number. */
+        fun toCount(v: Any?): ULong? = when (v) {
+            is ULong -> v
+            is Long -> if (v >= 0) v.toULong() else null
+            is Double -> if (v >= 0 && v < EXACT && v % 1.0 == 0.0) v.toLong().toULong() else null
+            else -> null
+        }
+
+        /** A count inside a list of ours. */
+        fun needCount(v: Any?): ULong = toCount(v) ?: throw MalformedException("not a count")
     }
 }
--- a/src/main/kotlin/flaxfield/jobs/JobCodec.kt
+++ b/src/main/kotlin/flaxfield/jobs/JobCodec.kt
@@ -101,7 +101,7 @@
                 (row[0] as Number).toInt(),
                 (row[1] as Number).toLong(),
                 row[2] as String,
-                (row[3] as Number).toLong().toULong(),
+                Obj.needCount(row[3]),
                 row[4] as Boolean,
             )
         }
--- /dev/null
+++ b/src/test/kotlin/flaxfield/Samples.kt
@@ -0,0 +1,50 @@
+package flaxfield
+
+import flaxfield.arrays.Seat
+import flaxfield.fleet.Flavor
+import flaxfield.fleet.Machine
+import flaxfield.fleet.MachinePhase
+import flaxfield.jobs.Chunk
+import flaxfield.jobs.Job
+import flaxfield.jobs.JobSpec
+import flaxfield.jobs.Room
+import flaxfield.jobs.Shape
+import flaxfield.jobs.Urgency
+import flaxfield.settings.Team
+
+/** Small builders shared by the tables. */
+object Samples {
+    fun spec(
+        id: String = "job-1",
+        shape: Shape = Shape.ARRAY,
+        shards: Int = 4,
+        urgency: Urgency = Urgency.IDLE,
+        owner: String = "red",
+        need: Room = Room(4.0, 1.0, 16.0),
+        lendable: Boolean = true,
+        samePlace: Boolean = false,
+        scatter: Boolean = false,
+        site: String? = null,
+        flavors: Set<String>? = null,
+        saveEveryS: Double = 10.0,
+    ) = JobSpec(
+        id, "class", owner, shape, urgency, shards, need, "img-1", 4.0, flavors, site, samePlace, scatter, lendable,
+        60.0, saveEveryS, 2.0, null,
+    )
+
+    fun job(spec: JobSpec = spec(), atMs: Long = 0, chunkTasks: Int = 8) =
+        Job(spec, atMs, null, emptyList(), 0, 0, chunkTasks, mapOf(0 to Chunk.empty()), 1uL)
+
+    fun Job.on(vararg where: Pair<Int, String>): Job = place(where.associate { (i, h) -> i to Job.Host(h, 1uL) })
+
+    fun machine(name: String, site: String = "a", lendable: Boolean = false, flavor: String = "big") =
+        Machine(name, flavor, site, lendable, MachinePhase.UP, 0, null, 1uL)
+
+    fun seat(name: String, free: Room = Room(16.0, 4.0, 64.0), site: String = "a", lendable: Boolean = false, images: Set<String> = emptySet()) =
+        Seat(machine(name, site, lendable), 1uL, free, images, true)
+
+    fun flavor(label: String, room: Room, rate: Double, low: Double, sites: List<String> = listOf("a", "b")) =
+        Flavor(label, room, 100.0, 1.0, rate, low, 30.0, sites)
+
+    fun team(name: String, gpus: Double = 0.0, gpusMax: Double = 0.0) = Team(name, 0.0, 0.0, gpus, gpusMax)
+}
--- /dev/null
+++ b/src/test/kotlin/flaxfield/arrays/PlacementTest.kt
@@ -0,0 +1,79 @@
+package flaxfield.arrays
+
+import flaxfield.Samples
+import flaxfield.Samples.on
+import flaxfield.codec.Wire
+import flaxfield.jobs.JobSpec
+import flaxfield.jobs.Room
+import flaxfield.jobs.Shape
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+
+class PlacementTest {
+    private fun place(spec: JobSpec, seats: List<Seat>, from: Int = 0, most: Int = 99) =
+        ArrayRound.place(Samples.job(spec), seats, ZoneRule(spec, emptyList()), from, most).mapValues { it.value.machine.name }
+
+    @Test
+    fun `tasks go to cheap machines first, then to those with the image, and never beyond room or limit`() {
+        val one = Room(4.0, 1.0, 16.0)
+        val seats = {
+            listOf(
+                Samples.seat("dear", one * 4),
+                Samples.seat("cheap", one * 2, lendable = true),
+                Samples.seat("warm", one, lendable = true, images = setOf("img-1")),
+            )
+        }
+        assertEquals(mapOf(0 to "warm", 1 to "cheap", 2 to "cheap", 3 to "dear"), place(Samples.spec(), seats()))
+        assertEquals(mapOf(2 to "warm", 3 to "cheap"), place(Samples.spec(), seats(), from = 2, most = 2))
+        assertEquals(mapOf(0 to "dear", 1 to "dear", 2 to "dear", 3 to "dear"), place(Samples.spec(lendable = false), seats()))
+        assertEquals(emptyMap<Int, String>(), place(Samples.spec(flavors = setOf("other")), seats()))
+        assertEquals(emptyMap<Int, String>(), place(Samples.spec(), seats(), most = 0))
+    }
+
+    @Test
+    fun `zone rules count the tasks that are on machines now`() {
+        val table = listOf(
+            Triple(Samples.spec(site = "b"), emptyList(), mapOf("a" to false, "b" to true)),
+            Triple(Samples.spec(samePlace = true), listOf("a"), mapOf("a" to true, "b" to false)),
+            Triple(Samples.spec(samePlace = true), emptyList(), mapOf("a" to true, "b" to true)),
+            Triple(Samples.spec(scatter = true, shards = 5), listOf("a", "a"), mapOf("a" to true)),
+            Triple(Samples.spec(scatter = true, shards = 5), listOf("a", "a", "a"), mapOf("a" to false, "b" to true)),
+            Triple(Samples.spec(scatter = true, shards = 1), emptyList(), mapOf("a" to true)),
+        )
+        for ((spec, placed, want) in table) assertEquals(want, want.mapValues { ZoneRule(spec, placed).allows(it.key) }, "$spec $placed")
+    }
+
+    @Test
+    fun `ordinary machines of a type that gangs need are left to them`() {
+        val flavors = listOf(Samples.flavor("big", Room(16.0, 4.0, 64.0), 8.0, 3.0), Samples.flavor("small", Room(8.0, 2.0, 32.0), 6.0, 2.0))
+        val gang = Samples.job(Samples.spec(shape = Shape.GANG, shards = 1, lendable = false, need = Room(12.0, 4.0, 40.0)), atMs = 100)
+        val r = Reserved()
+        r.note(listOf(gang), flavors, nowMs = 100, keepMs = 50)
+        val saves = Samples.spec()
+        val loses = Samples.spec(saveEveryS = 0.0)
+        assertEquals(listOf(false, true, true), listOf(r.rents(loses, "big", false), r.rents(loses, "big", true), r.rents(loses, "small", false)))
+        // Tasks that save are cheap to evict: they may use such a machine while it is free.
+        assertEquals(listOf(true, false), listOf(r.fills(saves, "big", false), r.fills(loses, "big", false)))
+        r.note(emptyList(), flavors, nowMs = 200, keepMs = 50)
+        assertEquals(true, r.rents(loses, "big", false))
+    }
+
+    @Test
+    fun `arrays leave their team's limit room for its gangs`() {
+        // Arrays that filled the limit made the team's gangs wait for minutes.
+        val gang = { id: String, ms: Long -> Samples.job(Samples.spec(id = id, shape = Shape.GANG, shards = 2), atMs = ms) }
+        val r = Reserved()
+        r.note(listOf(gang("job-1", 10), gang("job-2", 20)), emptyList(), 30, 100)
+        assertEquals(Room(16.0, 4.0, 64.0), r.ofLimit("red"))
+        r.note(listOf(gang("job-2", 20).on(0 to "h", 1 to "h")), emptyList(), 30, 100)
+        assertEquals(Room(8.0, 2.0, 32.0), r.ofLimit("red"))
+        r.note(emptyList(), emptyList(), 200, 100)
+        assertEquals(Room.NONE, r.ofLimit("red"))
+    }
+
+    @Test
+    fun `summaries survive the store`() {
+        val s = RoomSummary(ULong.MAX_VALUE, mapOf("h" to HostRoom(HostState.NOTICE, 3uL, "10.0.0.1:1", listOf("x", "y"))))
+        assertEquals(s, RoomCodec.decode(Wire.decode(Wire.encode(RoomCodec.encode(s)))))
+    }
+}
--- a/src/test/kotlin/flaxfield/WireTest.kt
+++ b/src/test/kotlin/flaxfield/codec/WireTest.kt
@@ -1,7 +1,5 @@
-package flaxfield
+package flaxfield.codec
 
-import flaxfield.codec.MalformedException
-import flaxfield.codec.Wire
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.assertThrows
@@ -14,6 +12,14 @@
         }
     }
 
+    @Test
+    fun `negative and broken numbers are no counts`() {
+        for (n in listOf(-1L, Long.MIN_VALUE, -1.0, 1.5, Double.NaN, "7", true, null)) {
+            assertEquals(null, Wire.decode(Wire.encode(mapOf("n" to n))).count("n"), n.toString())
+        }
+        assertEquals(4uL, Wire.decode(Wire.encode(mapOf("n" to 4.0))).count("n"))
+    }
+
     @Test
     fun `what is no map is refused`() {
         val bodies = listOf(
--- /dev/null
+++ b/src/test/kotlin/flaxfield/fleet/FleetRulesTest.kt
@@ -0,0 +1,84 @@
+package flaxfield.fleet
+
+import flaxfield.Samples
+import flaxfield.codec.Wire
+import flaxfield.jobs.JobSpec
+import flaxfield.jobs.Room
+import flaxfield.jobs.Shape
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+
+class FleetRulesTest {
+    private val one = Room(4.0, 1.0, 16.0)
+    private val flavors = listOf(Samples.flavor("big", one * 4, 8.0, 3.0), Samples.flavor("small", one * 2, 6.0, 2.0)).associateBy { it.label }
+
+    private fun pack(
+        demands: List<Demand>,
+        bins: List<Bin> = emptyList(),
+        refused: Set<Offer> = emptySet(),
+        suits: Suits = Suits { _, _, _ -> true },
+    ) = FleetRules.pack(demands, bins, flavors, 20, suits) { o ->
+        if (o in refused) null else flavors.getValue(o.flavor).let { if (o.lendable) it.lowRate else it.rate }
+    }
+
+    private fun rent(spec: JobSpec, tasks: Int, refused: Set<Offer> = emptySet(), pressing: Boolean = false) =
+        pack(listOf(Demand(spec, tasks, pressing)), refused = refused).rent
+
+    @Test
+    fun `the cheapest offer per task that it will run is rented`() {
+        val spec = Samples.spec(site = "a")
+        assertEquals(mapOf(Offer("big", "a", true) to 2), rent(spec, 8))
+        assertEquals(mapOf(Offer("small", "a", true) to 1), rent(spec, 1))
+        assertEquals(mapOf(Offer("big", "a", true) to 1, Offer("small", "a", true) to 1), rent(spec, 5))
+        assertEquals(mapOf(Offer("small", "a", true) to 2), rent(spec, 4, refused = setOf(Offer("big", "a", true))))
+        assertEquals(mapOf(Offer("big", "a", false) to 1), rent(Samples.spec(site = "a", lendable = false), 4))
+    }
+
+    @Test
+    fun `ordinary machines are rented for cheap jobs only when they press`() {
+        val none = setOf(Offer("big", "a", true), Offer("small", "a", true))
+        assertEquals(emptyMap<Offer, Int>(), rent(Samples.spec(site = "a"), 4, none))
+        assertEquals(mapOf(Offer("big", "a", false) to 1), rent(Samples.spec(site = "a"), 4, none, pressing = true))
+    }
+
+    @Test
+    fun `room that is there or on its way is used first`() {
+        val bins = { listOf(Bin("h1", "big", "a", false, one), Bin("h2", "big", "a", true, one * 2), Bin(null, "big", "b", true, one * 4)) }
+        val p = pack(listOf(Demand(Samples.spec(), 7)), bins())
+        assertEquals(Packing(emptyMap(), setOf("h1", "h2")), p)
+        val kept = pack(listOf(Demand(Samples.spec(), 7)), bins()) { _, _, lendable -> lendable }
+        assertEquals(setOf("h2"), kept.usedHosts)
+    }
+
+    @Test
+    fun `tasks that must be together are packed into one zone`() {
+        val bins = listOf(Bin("a1", "big", "a", false, one * 2), Bin("b1", "big", "b", false, one * 2))
+        val p = pack(listOf(Demand(Samples.spec(shape = Shape.GANG, samePlace = true, lendable = false), 4)), bins)
+        assertEquals(setOf("a1"), p.usedHosts)
+        assertEquals(setOf("a"), p.rent.keys.map { it.site }.toSet())
+    }
+
+    @Test
+    fun `a huge array is looked at in part`() {
+        assertEquals(20, rent(Samples.spec(shards = 100_000), 100_000).values.sum())
+    }
+
+    @Test
+    fun `spares are what arrives while a machine boots and fetches`() {
+        val gang = ClassRate(Samples.spec(shape = Shape.GANG, shards = 2, lendable = false), 0.05)
+        val array = ClassRate(Samples.spec(), 1.0)
+        val ordinary = ClassRate(Samples.spec(lendable = false), 1.0)
+        val got = FleetRules.spares(listOf(gang, array, ordinary), { 50.0 }, gangFactor = 1.0, arrayFactor = 0.5).map { it.tasks }
+        assertEquals(listOf(3, 25), got)
+        assertEquals(emptyList<Demand>(), FleetRules.spares(listOf(gang, array), { 50.0 }, 0.0, 0.0))
+    }
+
+    @Test
+    fun `machines, hires and types survive the store`() {
+        val m = Samples.machine("h").copy(claim = Claim("job-1", ULong.MAX_VALUE, 3, true), phase = MachinePhase.RETIRING)
+        assertEquals(m, FleetCodec.machine(Wire.decode(Wire.encode(FleetCodec.encode(m))), "live/host/h", m.stamp))
+        val h = Hire("n-1", "big", "a", true, 4, 9, 2uL)
+        assertEquals(h, FleetCodec.hire(Wire.decode(Wire.encode(FleetCodec.encode(h))), "live/hire/n-1", 2uL))
+        assertEquals(flavors, FleetCodec.flavors(Wire.decode(Wire.encode(FleetCodec.encodeFlavors(flavors.values, 5)))))
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/flaxfield/gangs/GangRoundTest.kt
@@ -0,0 +1,69 @@
+package flaxfield.gangs
+
+import flaxfield.Samples
+import flaxfield.arrays.Seat
+import flaxfield.jobs.Room
+import flaxfield.jobs.Shape
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+class GangRoundTest {
+    private fun gang(shards: Int, samePlace: Boolean = false, scatter: Boolean = false) =
+        Samples.job(Samples.spec(shape = Shape.GANG, shards = shards, samePlace = samePlace, scatter = scatter, lendable = false))
+
+    /** Room for [n] tasks. */
+    private fun seat(name: String, n: Int, site: String = "a", lendable: Boolean = false, images: Set<String> = emptySet()) =
+        Samples.seat(name, Room(4.0, 1.0, 16.0) * n, site, lendable, images)
+
+    private fun hosts(r: Round) = (r as? Round.Full)?.seats?.values?.map { it.machine.name }
+
+    @Test
+    fun `the gate holds a gang until all its members are listed`() {
+        assertFalse(GangRound.gate(gang(3), listed = 2))
+        assertTrue(GangRound.gate(gang(3), listed = 3))
+    }
+
+    @Test
+    fun `all members are seated or none`() {
+        val table = listOf<Triple<List<Seat>, Int, Boolean>>(
+            Triple(listOf(seat("h1", 2), seat("h2", 2)), 4, true),
+            Triple(listOf(seat("h1", 2), seat("h2", 1)), 4, false),
+            Triple(emptyList(), 1, false),
+            Triple(listOf(seat("h1", 4, lendable = true)), 4, false),
+        )
+        for ((seats, shards, full) in table) assertEquals(full, GangRound.run(gang(shards), seats) is Round.Full, "$shards in ${seats.map { it.machine }}")
+    }
+
+    @Test
+    fun `a short round stops early and gives back all assumed room`() {
+        val seats = listOf(seat("h1", 2), seat("h2", 1))
+        val before = seats.map { it.free }
+        assertEquals(Round.Short(assumed = 3, left = 6), GangRound.run(gang(10), seats))
+        assertEquals(before, seats.map { it.free })
+    }
+
+    @Test
+    fun `a full round keeps its room for the rounds after it`() {
+        val seats = listOf(seat("h1", 2))
+        assertTrue(GangRound.run(gang(2), seats) is Round.Full)
+        assertTrue(GangRound.run(gang(1), seats) is Round.Short)
+    }
+
+    @Test
+    fun `zones are kept to`() {
+        val split = { listOf(seat("a1", 2, "a"), seat("b1", 2, "b")) }
+        assertTrue(GangRound.run(gang(3, samePlace = true), split()) is Round.Short)
+        assertEquals(listOf("b1", "b1"), hosts(GangRound.run(gang(2, samePlace = true), listOf(seat("a1", 1, "a"), seat("b1", 2, "b")))))
+        assertTrue(GangRound.run(gang(4, scatter = true), listOf(seat("a1", 4, "a"))) is Round.Short)
+        assertEquals(listOf("a1", "a1", "b1", "b1"), hosts(GangRound.run(gang(4, scatter = true), split())))
+    }
+
+    @Test
+    fun `a machine with the image comes first, one that failed the job never`() {
+        val seats = { listOf(seat("h1", 1), seat("h2", 1, images = setOf("img-1"))) }
+        assertEquals(listOf("h2"), hosts(GangRound.run(gang(1), seats())))
+        assertEquals(listOf("h1"), hosts(GangRound.run(gang(1).copy(errorHosts = listOf("h2")), seats())))
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/flaxfield/jobs/JobTest.kt
@@ -0,0 +1,112 @@
+package flaxfield.jobs
+
+import flaxfield.Samples
+import flaxfield.Samples.on
+import flaxfield.codec.MalformedException
+import flaxfield.codec.Wire
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertSame
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.assertThrows
+
+class JobTest {
+    private val wire = JobCodec.encodeSpec(Samples.spec(id = "job-000412"))
+
+    @Test
+    fun `a submission survives the wire and the store`() {
+        val spec = JobCodec.spec(Wire.decode(Wire.encode(wire)))
+        assertEquals(Samples.spec(id = "job-000412"), spec)
+        val job = Samples.job(spec, atMs = 77).on(0 to "host-1", 3 to "host-2").finish(listOf(3)).copy(errorHosts = listOf("host-9"), errors = 2)
+        val read = JobCodec.decodeHead(Wire.decode(Wire.encode(JobCodec.encodeHead(job))), job.stamp)
+        assertEquals(job.copy(chunks = emptyMap()), read.copy(chunks = emptyMap()))
+        assertEquals(job.chunk(0).placed, read.chunk(0).placed)
+        assertEquals(job.chunk(0).done, read.chunk(0).done)
+    }
+
+    @Test
+    fun `malformed submissions are refused, unknown fields are not`() {
+        val bad = listOf(
+            "id" to null, "id" to "412", "id" to "job-", "id" to "job-1/2", "shape" to "daemon", "urgency" to "low",
+            "shards" to 0, "shards" to 100_001, "shards" to "3", "vcpus" to -1.0, "vcpus" to null, "vcpus" to Double.NaN,
+            "bundle" to "", "flavors" to "g8", "flavors" to listOf(1), "site" to 3, "same_place" to "yes", "due_s" to "soon",
+        )
+        for ((key, value) in bad) {
+            assertThrows<MalformedException>("$key=$value") { JobCodec.spec(Wire.decode(Wire.encode(wire + (key to value)))) }
+        }
+        assertEquals("job-000412", JobCodec.spec(Wire.decode(Wire.encode(wire + ("colour" to "red")))).id)
+    }
+
+    @Test
+    fun `a job that can never run is refused with its reason`() {
+        val flavors = mapOf("big" to Samples.flavor("big", Room(16.0, 4.0, 64.0), 8.0, 3.0, listOf("a")))
+        val teams = mapOf("red" to Samples.team("red", gpusMax = 4.0))
+        val table = listOf(
+            Samples.spec() to true,
+            Samples.spec(owner = "blue") to false,
+            Samples.spec(need = Room(17.0, 1.0, 1.0)) to false,
+            Samples.spec(flavors = setOf("small")) to false,
+            Samples.spec(site = "b") to false,
+            Samples.spec(shape = Shape.GANG, shards = 4) to true,
+            Samples.spec(shape = Shape.GANG, shards = 5) to false,
+            Samples.spec(shape = Shape.ARRAY, shards = 500) to true,
+        )
+        for ((spec, fine) in table) assertEquals(fine, Validation.refuse(spec, teams, flavors) == null, spec.toString())
+    }
+
+    @Test
+    fun `attempts are never used again`() {
+        var job = Samples.job()
+        val seen = HashSet<Long>()
+        repeat(5) {
+            job = job.on(2 to "host-1")
+            assertTrue(seen.add(job.placed(2)?.attempt ?: -1))
+            job = job.free(listOf(2))
+        }
+        var gang = Samples.job(Samples.spec(shape = Shape.GANG, shards = 20))
+        for (n in 1L..3L) {
+            gang = gang.place((0 until 20).associateWith { Job.Host("host-$it", 1uL) }, gang.nextGangAttempt())
+            assertEquals(setOf(n), gang.allPlaced().map { it.attempt }.toSet())
+            gang = gang.free((0 until 20).toList())
+        }
+    }
+
+    @Test
+    fun `pending tasks are neither placed nor done and start where asked`() {
+        val job = Samples.job().on(0 to "host-1").finish(listOf(0)).on(2 to "host-1")
+        assertEquals(listOf(1, 3), job.pending().toList())
+        assertEquals(listOf(3, 1), job.pending(2).toList())
+    }
+
+    @Test
+    fun `proofs settle only the attempt they are about`() {
+        val job = Samples.job().on(0 to "host-1", 1 to "host-1")
+        assertSame(job, Settle.apply(job, listOf(TaskEvent.Done("job-1", 0, 99)), 0, 0))
+        assertTrue(Settle.apply(job, listOf(TaskEvent.Done("job-1", 0, 1)), 0, 0).isDone(0))
+        val left = Settle.apply(job, listOf(TaskEvent.Left("job-1", 1, 1, "host-1", "stopped", false)), 0, 0)
+        assertNull(left.placed(1))
+        assertFalse(left.isDone(1))
+        assertEquals(0, left.errors)
+    }
+
+    @Test
+    fun `one done task completes a gang, one lost task stops it`() {
+        val gang = Samples.job(Samples.spec(shape = Shape.GANG, shards = 3)).on(0 to "host-1", 1 to "host-2", 2 to "host-3")
+        assertTrue(Settle.apply(gang, listOf(TaskEvent.Done("job-1", 1, 1)), 0, 0).complete)
+        val broken = Settle.apply(gang, listOf(TaskEvent.Left("job-1", 1, 1, "host-2", "mates_gone", false)), 0, 0)
+        assertEquals(listOf(true, true), broken.allPlaced().map { it.stopping }.toList())
+    }
+
+    @Test
+    fun `a job that fails on one machine after another backs off`() {
+        var job = Samples.job(Samples.spec(shards = 1))
+        val waits = (1..9).map { n ->
+            job = Settle.apply(job.on(0 to "host-$n"), listOf(TaskEvent.Left("job-1", 0, job.chunk(0).next, "host-$n", "error", true)), 1_000, 100)
+            if (job.retryAtMs == 0L) 0 else job.retryAtMs - 1_000
+        }
+        assertEquals(listOf<Long>(0, 100, 200, 400, 800, 1600, 3200, 3200, 3200), waits)
+        assertEquals(8, job.errorHosts.size)
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/flaxfield/quota/QuotaTest.kt
@@ -0,0 +1,59 @@
+package flaxfield.quota
+
+import flaxfield.Samples
+import flaxfield.Samples.on
+import flaxfield.jobs.Job
+import flaxfield.jobs.Room
+import flaxfield.jobs.Urgency
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+
+class QuotaTest {
+    private val teams = listOf(Samples.team("red", gpus = 2.0, gpusMax = 4.0), Samples.team("blue")).associateBy { it.name }
+
+    private fun job(id: String, owner: String = "red", shards: Int = 1, at: Long = 0, urgency: Urgency = Urgency.IDLE): Job =
+        Samples.job(Samples.spec(id = id, owner = owner, shards = shards, urgency = urgency), atMs = at)
+
+    @Test
+    fun `a record counts against the limit until proof that its task has left`() {
+        val three = job("job-1", shards = 4).on(0 to "h", 1 to "h", 2 to "h")
+        val use = TeamUse(listOf(three.stop(listOf(0))), teams)
+        assertEquals(1, use.allows("red", three.spec.need))
+        assertEquals(0, use.allows("red", three.spec.need, kept = Room(0.0, 1.0, 0.0)))
+        assertEquals(Int.MAX_VALUE, use.allows("blue", three.spec.need))
+        assertEquals(0, use.allows("nobody", three.spec.need))
+    }
+
+    @Test
+    fun `guaranteed are the earliest unfinished jobs that fit together`() {
+        val jobs = listOf(job("job-3", at = 3), job("job-1", at = 1), job("job-2", at = 2, shards = 2), job("job-4", "blue"))
+        assertEquals(setOf("job-1"), JobOrder.guaranteed(jobs, teams))
+        assertEquals(setOf("job-1", "job-3"), JobOrder.guaranteed(jobs.filter { it.id != "job-2" }, teams))
+    }
+
+    @Test
+    fun `the order is guarantee, priority, share, age`() {
+        val busy = job("job-9", "red", shards = 4).on(0 to "h")
+        val jobs = listOf(
+            job("job-5", "blue", at = 1), job("job-4", "red", at = 0), job("job-3", "blue", at = 0),
+            job("job-2", "red", at = 9, urgency = Urgency.PROD), job("job-1", "red", at = 10),
+        )
+        val order = JobOrder.sort(jobs, setOf("job-1"), TeamUse(listOf(busy), teams)).map { it.id }
+        assertEquals(listOf("job-1", "job-2", "job-3", "job-5", "job-4"), order)
+    }
+
+    @Test
+    fun `preemption only as the rules allow`() {
+        val low = job("job-1", "red", shards = 4).on(0 to "h", 1 to "h", 2 to "h")
+        val use = TeamUse(listOf(low), teams)
+        val table = listOf(
+            Triple(job("job-2", "blue", urgency = Urgency.HIGH), false, true),
+            Triple(job("job-2", "blue"), false, false),
+            Triple(job("job-2", "blue"), true, true),
+            Triple(job("job-2", "red"), true, false),
+        )
+        for ((who, guaranteed, may) in table) assertEquals(may, JobOrder.mayPreempt(who, guaranteed, low, use), "$who $guaranteed")
+        val within = TeamUse(listOf(job("job-1", shards = 4).on(0 to "h")), teams)
+        assertEquals(false, JobOrder.mayPreempt(job("job-2", "blue"), true, low, within))
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/flaxfield/settings/SettingsTest.kt
@@ -0,0 +1,67 @@
+package flaxfield.settings
+
+import flaxfield.cli.commandLine
+import flaxfield.codec.MalformedException
+import flaxfield.codec.Wire
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.assertThrows
+import picocli.CommandLine.ParameterException
+
+class SettingsTest {
+    private val file = """
+        {"node_name":"n-0","zone":"a","serve_on":"127.0.0.1:8080","internal_addr":"127.0.0.1:8081","later":{"x":1},
+         "others":[{"node_name":"n-1","zone":"b","peer_addr":"127.0.0.1:8082"}],
+         "external":{"cloud":"127.0.0.1:1","state":"127.0.0.1:2"},
+         "deployment":{"size":2,"zones":["a","b"],"teams":[{"name":"red","gpus":2.0,"gpus_max":4.0}],
+          "objectives":[{"kind":"wait","class":"x","within_s":30.0,"share":0.9}],
+          "workers":{"report_s":2.0,"lease_s":12.0,"gang_wait_s":45.0,"gang_peer_s":8.0,"cancel_s":42.0},
+          "state":{"rps":150.0,"write_rps":30.0,"value_kb":32.0,"txn_ops":24},"cloud":{"rps":2.0,"list_lag_s":5.0}}}
+    """.trimIndent()
+
+    @Test
+    fun `the platform's file is read, unknown fields are ignored`() {
+        val s = Settings.of(Wire.decodeJson(file.toByteArray()))
+        assertEquals(Address("127.0.0.1", 8080), s.serveOn)
+        assertEquals(listOf(Peer("n-1", Address("127.0.0.1", 8082))), s.peers)
+        assertEquals(Team("red", 0.0, 0.0, 2.0, 4.0), s.teams["red"])
+        assertEquals(24, s.stateLimits.txnOps)
+    }
+
+    @Test
+    fun `a fault in the platform's file is named in one line`() {
+        val table = listOf(
+            "\"node_name\":\"n-0\"," to "" to "node_name",
+            "127.0.0.1:8080" to "nowhere" to "nowhere",
+            "\"lease_s\":12.0" to "\"lease_s\":0" to "lease_s",
+            "\"rps\":150.0" to "\"rps\":\"many\"" to "rps",
+        )
+        for ((change, named) in table) {
+            val e = assertThrows<MalformedException> { Settings.of(Wire.decodeJson(file.replace(change.first, change.second).toByteArray())) }
+            assertTrue(e.message.orEmpty().contains(named), e.message)
+        }
+        assertThrows<MalformedException> { Wire.decodeJson("{\"a\":".toByteArray()) }
+        assertThrows<MalformedException> { Settings.load("/does/not/exist") }
+    }
+
+    @Test
+    fun `operators' properties are checked key by key`() {
+        val good = OperatorSettings.of(mapOf("fleet.spare-factor" to "2.5", "node.queue-commands" to "100"))
+        assertEquals(OperatorSettings(spareFactor = 2.5, queueCommands = 100), good)
+        val bad = listOf("fleet.spare" to "1", "fleet.spare-factor" to "-1", "fleet.spare-factor" to "x", "node.queue-commands" to "1.5")
+        for ((key, value) in bad) {
+            val e = assertThrows<MalformedException>("$key=$value") { OperatorSettings.of(mapOf(key to value)) }
+            assertTrue(e.message.orEmpty().contains("'$key'"), e.message)
+        }
+    }
+
+    @Test
+    fun `the command line takes serve with its files and refuses the rest`() {
+        val serve = commandLine().parseArgs("serve", "--properties", "p", "--config", "f").subcommand()
+        assertEquals("f", serve.matchedOptionValue("--config", ""))
+        for (args in listOf(listOf("serve"), listOf("serve", "--config"), listOf("start"), listOf("serve", "--config", "f", "--what"))) {
+            assertThrows<ParameterException>(args.toString()) { commandLine().parseArgs(*args.toTypedArray()) }
+        }
+    }
+}
