--- a/src/main/kotlin/flaxfield/arrays/ArrayDesk.kt
+++ b/src/main/kotlin/flaxfield/arrays/ArrayDesk.kt
@@ -24,6 +24,7 @@
         val term = hub.term() ?: return
         if (!hub.mayDecide()) return
         summarise(term)
+        drain(term)
         evict(term)
         place(term)
     }
@@ -42,6 +43,17 @@
         }
     }
 
+    /** Machines that are no longer needed: what fills them goes on elsewhere. */
+    private fun drain(term: ULong) {
+        for (m in mine()) {
+            if (m.phase != MachinePhase.DRAINING) continue
+            val on = hub.world.on(m.name).filter { !it.placed.stopping && !it.job.isGang }
+            for ((id, list) in on.groupBy { it.job.id }) {
+                workers.stop(id, list.map { it.placed.index }, term, "${m.name} is to be returned")
+            }
+        }
+    }
+
     /** Where the leader claims a machine for a more urgent gang, tasks make way as far as the rules allow. */
     private fun evict(term: ULong) {
         val claimed = mine().filter { it.claim?.let { c -> c.evict && c.term == term } ?: false }
--- a/src/main/kotlin/flaxfield/arrays/Placement.kt
+++ b/src/main/kotlin/flaxfield/arrays/Placement.kt
@@ -72,6 +72,10 @@
     fun rents(spec: JobSpec, flavor: String, lendable: Boolean): Boolean =
         lendable || !spec.lendable || flavor !in untilMs
 
+    /** Whether tasks of [spec] are on a machine of this kind only until it is needed, or returned. */
+    fun guests(spec: JobSpec, flavor: String, lendable: Boolean): Boolean =
+        spec.saveEveryS > 0.0 && !rents(spec, flavor, lendable)
+
     /** Whether tasks of [spec] may fill such a machine while it is free: those that save are cheap to evict. */
     fun fills(spec: JobSpec, flavor: String, lendable: Boolean): Boolean =
         spec.saveEveryS > 0.0 || rents(spec, flavor, lendable)
--- a/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
@@ -13,6 +13,7 @@
 import flaxfield.store.Cause
 import flaxfield.store.Change
 import flaxfield.store.Keys
+import flaxfield.store.OnHost
 import flaxfield.store.Outcome
 import flaxfield.store.Txn
 import org.slf4j.LoggerFactory
@@ -219,12 +220,14 @@
         val changes = ArrayList<Change>()
         val conditions = HashMap(Settlement.fence(hub))
         for (m in w.machines.values) {
-            if (m.phase != MachinePhase.UP || hub.isBusy(Keys.HOST + m.name)) continue
+            if (m.phase == MachinePhase.RETIRING || hub.isBusy(Keys.HOST + m.name)) continue
             val why = reasonToRetire(m) ?: continue
+            val phase = if (why == SURPLUS) MachinePhase.DRAINING else MachinePhase.RETIRING
+            if (phase == m.phase) continue
             if (changes.size >= hub.settings.stateLimits.txnOps) break
             conditions[Keys.HOST + m.name] = m.stamp
-            changes += Change.Put(Keys.HOST + m.name, FleetCodec.encode(m.copy(phase = MachinePhase.RETIRING, claim = null)))
-            log.info("host={} flavor={} term={} to be returned: {}", m.name, m.flavor, hub.term(), why)
+            changes += Change.Put(Keys.HOST + m.name, FleetCodec.encode(m.copy(phase = phase, claim = null)))
+            log.info("host={} flavor={} term={} {} to be returned: {}", m.name, m.flavor, hub.term(), phase, why)
         }
         if (changes.isNotEmpty()) hub.commit(Cause.FLEET, Txn(conditions, changes))
     }
@@ -246,7 +249,12 @@
             else -> {
                 val idle = idleSinceNs[m.name]
                 val keep = flavor.readyS * hub.operator.keepIdleBoots
-                if (idle != null && on.isEmpty() && m.claim?.term != hub.term() && hub.nowNs - idle > keep * NS) "idle" else null
+                when {
+                    m.phase == MachinePhase.DRAINING -> if (on.isEmpty()) "drained" else null
+                    idle == null || m.claim?.term == hub.term() || hub.nowNs - idle <= keep * NS -> null
+                    on.isEmpty() -> "idle"
+                    else -> SURPLUS
+                }
             }
         }
     }
@@ -266,7 +274,7 @@
             if (m.phase != MachinePhase.UP || m.claim?.term == term) continue
             val state = w.hostRoom(m.name)?.state ?: HostState.UNSEEN
             if (state != HostState.OK && state != HostState.UNSEEN) continue
-            bins += Bin(m.name, m.flavor, m.site, m.lendable, w.free(m) ?: continue)
+            bins += Bin(m.name, m.flavor, m.site, m.lendable, roomWithoutGuests(m) ?: continue)
         }
         for (h in w.hires.values) {
             val room = w.flavors[h.flavor]?.room ?: continue
@@ -280,8 +288,11 @@
             val f = w.flavors[o.flavor]
             if (f == null || r != null && now < r.untilNs) null else if (o.lendable) f.lowRate else f.rate
         }
+        // While arrays wait for room, those that fill a machine nobody else needs are worth its price.
+        val backlog = w.jobs.values.any { !it.isGang && !it.cancelled && it.pendingCount > 0 && it.retryAtMs <= hub.nowMs }
         for (m in w.machines.values) {
-            val idle = m.phase == MachinePhase.UP && w.on(m.name).isEmpty() && m.name !in packing.usedHosts &&
+            val idle = m.phase == MachinePhase.UP && m.name !in packing.usedHosts &&
+                w.on(m.name).let { on -> on.isEmpty() || !backlog && on.all { guest(it, m) } } &&
                 w.hostRoom(m.name)?.state == HostState.OK
             if (idle) idleSinceNs.putIfAbsent(m.name, now) else idleSinceNs.remove(m.name)
         }
@@ -289,6 +300,14 @@
         for ((offer, n) in packing.rent) hire(offer, minOf(n, MOST_PER_HIRE))
     }
 
+    private fun guest(r: OnHost, m: Machine) = hub.reserved.guests(r.job.spec, m.flavor, m.lendable)
+
+    /** What a machine has free once its guests have made way: with them counted, spares were rented twice. */
+    private fun roomWithoutGuests(m: Machine): Room? {
+        val free = hub.world.free(m) ?: return null
+        return hub.world.on(m.name).filter { guest(it, m) }.fold(free) { room, r -> room + r.job.spec.need }
+    }
+
     private fun hire(offer: Offer, n: Int) {
         val h = Hire("${hub.me.name}-${hub.me.incarnation}-${++hireCount}", offer.flavor, offer.site, offer.lendable, n, hub.nowMs, 0uL)
         val conditions = Settlement.fence(hub) + (Keys.HIRE + h.name to 0uL)
@@ -354,6 +373,7 @@
         val log = LoggerFactory.getLogger("flaxfield.fleet")
         const val NS = 1e9
         const val MS = 1000.0
+        const val SURPLUS = "surplus"
         const val CLOUD_SHARE = 0.9
         const val FLAVORS_S = 60.0
         const val PLAN_REPORTS = 0.25
--- a/src/main/kotlin/flaxfield/fleet/Machine.kt
+++ b/src/main/kotlin/flaxfield/fleet/Machine.kt
@@ -16,7 +16,15 @@
     val sites: List<String>,
 )
 
-enum class MachinePhase { UP, RETIRING }
+enum class MachinePhase {
+    UP,
+
+    /** No longer needed: nothing new is placed, and the arrays that fill it make way. */
+    DRAINING,
+
+    /** About to be returned, or returned without the answer having been seen. */
+    RETIRING,
+}
 
 /** A room claimed for a gang by the leader; void under any other term than the one it was made in. */
 data class Claim(val job: String, val term: ULong, val tasks: Int, val evict: Boolean)
@@ -49,7 +57,7 @@
         "flavor" to m.flavor,
         "site" to m.site,
         "lendable" to m.lendable,
-        "retiring" to (m.phase == MachinePhase.RETIRING),
+        "phase" to m.phase.name.lowercase(),
         "at" to m.sinceMs,
         "claim" to m.claim?.let { mapOf("job" to it.job, "term" to it.term, "tasks" to it.tasks, "evict" to it.evict) },
     )
@@ -59,7 +67,7 @@
         o.needText("flavor"),
         o.needText("site"),
         o.needFlag("lendable"),
-        if (o.flag("retiring") == true) MachinePhase.RETIRING else MachinePhase.UP,
+        MachinePhase.valueOf(o.needText("phase").uppercase()),
         o.needCount("at").toLong(),
         o.obj("claim")?.let { Claim(it.needText("job"), it.needCount("term"), it.int("tasks") ?: 1, it.flag("evict") ?: false) },
         stamp,
--- a/src/main/kotlin/flaxfield/settings/Properties.kt
+++ b/src/main/kotlin/flaxfield/settings/Properties.kt
@@ -10,7 +10,7 @@
     /** Idle machines are kept this many boot times before they are returned. */
     val keepIdleBoots: Double = 1.5,
     /** Spare machines per gang class, as a multiple of what the class asks for in one boot and fetch. */
-    val spareFactor: Double = 0.3,
+    val spareFactor: Double = 0.5,
     /** The same for classes of arrays that may use cheap machines. */
     val arraySpareFactor: Double = 0.0,
     /** Commands the owner thread holds before the first stage refuses. */
--- a/src/main/kotlin/flaxfield/workers/WorkerDesk.kt
+++ b/src/main/kotlin/flaxfield/workers/WorkerDesk.kt
@@ -118,7 +118,7 @@
         if (log.isDebugEnabled) changes(last, report)
         if (report.warningS != null) drain(report, term)
         val records = hub.world.on(report.host)
-        val decision = Orders.decide(report, records, term, mayLaunch = machine.phase == MachinePhase.UP)
+        val decision = Orders.decide(report, records, term, mayLaunch = machine.phase != MachinePhase.RETIRING)
         for (e in decision.events) {
             blame(e, book)
             settlement.add(e)
