--- a/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
@@ -139,7 +139,9 @@
         }
         val last = if (names.size <= room) listOf(Change.Drop(Keys.HIRE + h.name)) else emptyList()
         val conditions = Settlement.fence(hub) + (Keys.HIRE + h.name to h.stamp)
-        hub.commit(Cause.FLEET, Txn(conditions, changes + last)) { if (it !is Outcome.Committed) asking[h.name] = 0L }
+        // A clear answer is not asked for again while it is being written down.
+        val sent = hub.commit(Cause.FLEET, Txn(conditions, changes + last)) { if (it !is Outcome.Committed) asking[h.name] = 0L }
+        if (sent) asking[h.name] = Long.MAX_VALUE
     }
 
     private fun refuse(offer: Offer) {
