--- a/src/main/kotlin/flaxfield/jobs/Job.kt
+++ b/src/main/kotlin/flaxfield/jobs/Job.kt
@@ -2,7 +2,13 @@
 
 import java.util.BitSet
 
-enum class Shape { ARRAY, GANG }
+enum class Shape {
+    ARRAY,
+    GANG,
+
+    /** Independent tasks that run until their user cancels them; placed like an array's. */
+    SERVICE,
+}
 
 /** From the least to the most urgent; a later one may preempt an earlier one. */
 enum class Urgency { IDLE, STANDARD, HIGH, PROD }
--- a/src/main/kotlin/flaxfield/jobs/JobCodec.kt
+++ b/src/main/kotlin/flaxfield/jobs/JobCodec.kt
@@ -11,7 +11,7 @@
     private const val MAX_SHARDS = 100_000
     private val ID = Regex("job-[0-9]{1,18}")
 
-    private val shapes = mapOf("sweep" to Shape.ARRAY, "group" to Shape.GANG)
+    private val shapes = mapOf("sweep" to Shape.ARRAY, "group" to Shape.GANG, "daemon" to Shape.SERVICE)
     private val urgencies = mapOf(
         "prod" to Urgency.PROD,
         "high" to Urgency.HIGH,
--- a/src/main/kotlin/flaxfield/jobs/JobDesk.kt
+++ b/src/main/kotlin/flaxfield/jobs/JobDesk.kt
@@ -33,6 +33,7 @@
         val spec = try {
             JobCodec.spec(Wire.decode(body))
         } catch (e: MalformedException) {
+            log.info("submission refused: {}", e.message)
             return answer(reply, 400, mapOf("error" to (e.message ?: "malformed")))
         }
         val old = finished.getIfPresent(spec.id)
