--- a/src/main/kotlin/flaxfield/settings/Properties.kt
+++ b/src/main/kotlin/flaxfield/settings/Properties.kt
@@ -8,7 +8,7 @@
 /** Operators' own settings: a Java-style properties file, checked key by key at the start. */
 data class OperatorSettings(
     /** Idle machines are kept this many boot times before they are returned. */
-    val keepIdleBoots: Double = 1.5,
+    val keepIdleBoots: Double = 0.8,
     /** Spare machines per gang class, as a multiple of what the class asks for in one boot and fetch. */
     val spareFactor: Double = 0.5,
     /** The same for classes of arrays that may use cheap machines. */
