--- a/src/main/kotlin/flaxfield/arrays/ArrayDesk.kt
+++ b/src/main/kotlin/flaxfield/arrays/ArrayDesk.kt
@@ -104,9 +104,10 @@
         }
     }
 
-    private fun open(m: Machine, term: ULong): Boolean =
-        m.phase == MachinePhase.UP && m.claim?.term != term && !hub.isBusy(Keys.HOST + m.name) &&
-            workers.state(m.name) == HostState.OK
+    private fun open(m: Machine, term: ULong): Boolean = m.phase == MachinePhase.UP &&
+        m.claim?.term != term &&
+        !hub.isBusy(Keys.HOST + m.name) &&
+        workers.state(m.name) == HostState.OK
 
     private fun placeJob(job: Job, seats: List<Seat>, use: TeamUse, term: ULong) {
         val team = hub.settings.teams[job.spec.owner] ?: return
--- a/src/main/kotlin/flaxfield/gangs/GangDesk.kt
+++ b/src/main/kotlin/flaxfield/gangs/GangDesk.kt
@@ -3,6 +3,7 @@
 import flaxfield.arrays.HostRoom
 import flaxfield.arrays.HostState
 import flaxfield.arrays.Seat
+import flaxfield.arrays.ZoneRule
 import flaxfield.fleet.Claim
 import flaxfield.fleet.FleetCodec
 import flaxfield.fleet.Machine
@@ -98,6 +99,11 @@
         // Without room, or only where the image must be fetched for longer than tasks take to make way.
         val cleared = withEviction(job, seats, use, job.id in guaranteed)
         val second = cleared?.let { GangRound.run(job, it) }
+        val best = if (second is Round.Full && (plain is Round.Short || warm(job, second))) second else plain
+        if (best is Round.Full && !warm(job, best) && waitsForWarm(job, best)) {
+            if (plain is Round.Full) giveBack(job, plain)
+            return park(job, "waits for a machine with ${job.spec.bundle}")
+        }
         when {
             second is Round.Full && (plain is Round.Short || warm(job, second)) -> {
                 if (plain is Round.Full) giveBack(job, plain)
@@ -111,9 +117,23 @@
     private fun warm(job: Job, r: Round.Full) = r.seats.values.all { job.spec.bundle in it.images }
 
     /** Whether the image takes longer to fetch than tasks that save take to make way. */
-    private fun fetchIsSlow(job: Job, r: Round.Full): Boolean {
-        val rate = r.seats.values.mapNotNull { hub.world.flavors[it.machine.flavor]?.fetchGbPerS }.minOrNull() ?: return false
-        return job.spec.pullGb / rate > hub.settings.workers.reportS * CLAIM_REPORTS
+    private fun fetchIsSlow(job: Job, r: Round.Full): Boolean = fetchS(job, r) > hub.settings.workers.reportS * CLAIM_REPORTS
+
+    private fun fetchS(job: Job, r: Round.Full): Double =
+        r.seats.values.mapNotNull { hub.world.flavors[it.machine.flavor]?.fetchGbPerS }.minOrNull()?.let { job.spec.pullGb / it } ?: 0.0
+
+    private fun waitsForWarm(job: Job, r: Round.Full): Boolean {
+        val aims = hub.settings.objectives.filter { it.kind == "wait" && it.jobClass == job.spec.jobClass }.map { it.withinS }
+        val w = hub.world
+        val busyWarm = w.machines.values.count { m ->
+            m.phase == MachinePhase.UP &&
+                ZoneRule.kindAllowed(job.spec, m.flavor, m.site, m.lendable) &&
+                w.hostRoom(m.name)?.let { it.state == HostState.OK && job.spec.bundle in it.images } == true &&
+                w.on(m.name).any { it.job.isGang }
+        }
+        val rivals = w.jobs.values.filter { it.isGang && !it.cancelled && it.placedCount == 0 && it.spec.bundle == job.spec.bundle }
+            .sumOf { it.spec.shards }
+        return WarmWait.waits((hub.nowMs - job.submittedMs) / MS, fetchS(job, r), aims, busyWarm, rivals)
     }
 
     private fun giveBack(job: Job, r: Round.Full) {
@@ -233,6 +253,7 @@
     private companion object {
         val log = LoggerFactory.getLogger("flaxfield.gangs")
         const val NS = 1e9
+        const val MS = 1000.0
 
         /** Rounds in one batch: a team's huge gangs must not take the leader's whole turn. */
         const val MOST_ROUNDS = 16
--- a/src/main/kotlin/flaxfield/gangs/GangRound.kt
+++ b/src/main/kotlin/flaxfield/gangs/GangRound.kt
@@ -13,6 +13,24 @@
     data class Short(val assumed: Int, val left: Int) : Round
 }
 
+/** Pure: whether a gang should rather wait for a machine with its image than fetch it elsewhere. */
+object WarmWait {
+    /**
+     * True if a start with the fetch would miss the tightest of [aimsS] anyway, there is time left to meet it
+     * without, and enough machines with the image are in use: [busyWarm] for [rivals] tasks that want one.
+     */
+    fun waits(ageS: Double, fetchS: Double, aimsS: List<Double>, busyWarm: Int, rivals: Int): Boolean {
+        val tight = aimsS.minOrNull() ?: return false
+        return ageS + fetchS > tight && ageS < tight * LAST_CALL && busyWarm >= rivals * CHANCES
+    }
+
+    /** After this share of the aim the gang takes what there is. */
+    private const val LAST_CALL = 0.9
+
+    /** Of this many machines in use one is likely free again in time. */
+    private const val CHANCES = 2
+}
+
 /** Pure: the gang's count gate and its one round with early stop. */
 object GangRound {
     /** The gate: the record must list at least the minimum count of tasks. */
--- a/src/main/kotlin/flaxfield/workers/WorkerDesk.kt
+++ b/src/main/kotlin/flaxfield/workers/WorkerDesk.kt
@@ -239,7 +239,8 @@
     }
 
     /** It has reported before, to us or to an earlier owner, or carries tasks: its silence means something. */
-    private fun expected(host: String): Boolean = books[host]?.report != null || hub.world.on(host).isNotEmpty() ||
+    private fun expected(host: String): Boolean = books[host]?.report != null ||
+        hub.world.on(host).isNotEmpty() ||
         hub.world.rooms.values.any { r -> r.hosts[host]?.let { it.tenure > 0uL } ?: false }
 
     private fun silent(sinceNs: Long): Boolean {
--- a/src/test/kotlin/flaxfield/gangs/GangRoundTest.kt
+++ b/src/test/kotlin/flaxfield/gangs/GangRoundTest.kt
@@ -74,4 +74,18 @@
         assertEquals(listOf("h2"), hosts(GangRound.run(gang(1), seats())))
         assertEquals(listOf("h1"), hosts(GangRound.run(gang(1).copy(errorHosts = listOf("h2")), seats())))
     }
+
+    @Test
+    fun `a gang waits for a warm machine only where that is its best chance`() {
+        // A start with a fetch of 80 s missed an aim of 60 s while machines with the image were about to be free.
+        val aims = listOf(90.0, 60.0)
+        val table = listOf(
+            WarmWait.waits(ageS = 1.0, fetchS = 80.0, aimsS = aims, busyWarm = 4, rivals = 2) to true,
+            WarmWait.waits(ageS = 1.0, fetchS = 80.0, aimsS = aims, busyWarm = 3, rivals = 2) to false,
+            WarmWait.waits(ageS = 1.0, fetchS = 30.0, aimsS = aims, busyWarm = 9, rivals = 1) to false,
+            WarmWait.waits(ageS = 55.0, fetchS = 80.0, aimsS = aims, busyWarm = 9, rivals = 1) to false,
+            WarmWait.waits(ageS = 1.0, fetchS = 80.0, aimsS = emptyList(), busyWarm = 9, rivals = 1) to false,
+        )
+        for ((got, want) in table) assertEquals(want, got)
+    }
 }
