--- a/src/main/kotlin/flaxfield/cli/Main.kt
+++ b/src/main/kotlin/flaxfield/cli/Main.kt
@@ -78,7 +78,11 @@
     val limits = StateLimits(1000.0, 1000.0, 16.0, 24)
     val here = Address("127.0.0.1", 0)
     val settings = Settings(
-        "warm-up", "a", here, here, listOf(Peer("nobody", nowhere)), nowhere, nowhere, 1, emptyMap(), emptyList(), times, limits, 1.0, 1.0, 1,
+        "warm-up", "a", here, here,
+        listOf(
+            Peer("nobody", nowhere),
+        ),
+        nowhere, nowhere, 1, emptyMap(), emptyList(), times, limits, 1.0, 1.0, 1,
     )
     Thread({ Node(settings, OperatorSettings(), incarnation()).serve() }, "warm-up").apply { isDaemon = true }.start()
     Thread.sleep(WARM_UP_MS)
