--- /dev/null
+++ b/src/main/kotlin/flaxfield/arrays/ArrayDesk.kt
@@ -0,0 +1,146 @@
+package flaxfield.arrays
+
+import flaxfield.fleet.Machine
+import flaxfield.fleet.MachinePhase
+import flaxfield.jobs.Job
+import flaxfield.jobs.Settlement
+import flaxfield.node.Hub
+import flaxfield.quota.JobOrder
+import flaxfield.quota.TeamUse
+import flaxfield.store.Cause
+import flaxfield.store.Change
+import flaxfield.store.Keys
+import flaxfield.store.Outcome
+import flaxfield.store.Txn
+import flaxfield.workers.WorkerDesk
+import org.slf4j.LoggerFactory
+
+/** This node's part: places arrays on its own machines, tells their room, and clears claimed machines. */
+class ArrayDesk(private val hub: Hub, private val workers: WorkerDesk) {
+    private var summarySent: RoomSummary? = null
+    private var nextSummaryNs = 0L
+
+    fun run() {
+        val term = hub.term() ?: return
+        if (!hub.mayDecide()) return
+        summarise(term)
+        evict(term)
+        place(term)
+    }
+
+    private fun mine(): List<Machine> = hub.world.machines.values.filter { hub.owns(it) }
+
+    private fun summarise(term: ULong) {
+        val now = RoomSummary(term, mine().associate { it.name to workers.book(it.name).room(workers.state(it.name)) })
+        if (now == summarySent && hub.world.rooms[hub.me.name] == now) return
+        val key = Keys.ROOM + hub.me.name
+        if (hub.isBusy(key) || hub.nowNs < nextSummaryNs) return
+        val conditions = Settlement.fence(hub) + (key to hub.world.stamp(key))
+        if (hub.commit(Cause.ROOM, Txn(conditions, listOf(Change.Put(key, RoomCodec.encode(now)))))) {
+            summarySent = now
+            nextSummaryNs = hub.nowNs + (hub.settings.workers.reportS * SUMMARY_REPORTS * NS).toLong()
+        }
+    }
+
+    /** Where the leader claims a machine for a more urgent gang, tasks make way as far as the rules allow. */
+    private fun evict(term: ULong) {
+        val claimed = mine().filter { it.claim?.let { c -> c.evict && c.term == term } ?: false }
+        if (claimed.isEmpty()) return
+        val use = TeamUse(hub.world.jobs.values, hub.settings.teams)
+        val guaranteed = JobOrder.guaranteed(hub.world.jobs.values, hub.settings.teams)
+        for (m in claimed) {
+            val claim = m.claim ?: continue
+            val gang = hub.world.jobs[claim.job] ?: continue
+            var free = hub.world.free(m) ?: continue
+            val want = gang.spec.need * claim.tasks
+            val on = hub.world.on(m.name)
+            for (r in on) if (r.placed.stopping || r.job.cancelled) free += r.job.spec.need
+            val victims = on.filter {
+                !it.placed.stopping && !it.job.isGang && JobOrder.mayPreempt(gang, gang.id in guaranteed, it.job, use)
+            }.sortedWith(compareBy({ it.job.spec.urgency }, { -it.job.submittedMs }))
+            val chosen = ArrayList<Pair<String, Int>>()
+            for (v in victims) {
+                if (free.holds(want)) break
+                free += v.job.spec.need
+                chosen += v.job.id to v.placed.index
+            }
+            for ((id, tasks) in chosen.groupBy({ it.first }, { it.second })) {
+                workers.stop(id, tasks, term, "room for ${gang.id} on ${m.name}")
+            }
+        }
+    }
+
+    private fun place(term: ULong) {
+        val w = hub.world
+        val waiting = w.jobs.values.filter {
+            !it.isGang && !it.cancelled && it.pendingCount > 0 && it.retryAtMs <= hub.nowMs && !hub.isBusy(Keys.JOB + it.id)
+        }
+        if (waiting.isEmpty()) return
+        val seats = mine().filter { open(it, term) }.mapNotNull { m ->
+            val free = w.free(m) ?: return@mapNotNull null
+            val book = workers.book(m.name)
+            val report = book.report ?: return@mapNotNull null
+            // What the worker still has without a record takes room as well.
+            Seat(m, report.tenure, free, book.images.keys.toSet(), w.on(m.name).isEmpty())
+        }
+        if (seats.isEmpty()) return
+        val use = TeamUse(w.jobs.values, hub.settings.teams)
+        val guaranteed = JobOrder.guaranteed(w.jobs.values, hub.settings.teams)
+        for (job in JobOrder.sort(waiting, guaranteed, use)) {
+            if (seats.none { it.free.holds(job.spec.need) }) continue
+            placeJob(job, seats, use, term)
+        }
+    }
+
+    private fun open(m: Machine, term: ULong): Boolean =
+        m.phase == MachinePhase.UP && m.claim?.term != term && !hub.isBusy(Keys.HOST + m.name) &&
+            workers.state(m.name) == HostState.OK
+
+    private fun placeJob(job: Job, seats: List<Seat>, use: TeamUse, term: ULong) {
+        val team = hub.settings.teams[job.spec.owner] ?: return
+        val fenceKey = Keys.TEAM + team.name
+        if (team.limited && hub.isBusy(fenceKey)) return
+        val sites = if (job.spec.samePlace || job.spec.scatter) {
+            job.allPlaced().map { hub.world.machines[it.host]?.site.orEmpty() }.toList()
+        } else {
+            emptyList()
+        }
+        val most = minOf(use.allows(team.name, job.spec.need), MOST_PER_JOB)
+        val found = ArrayRound.place(job, seats, ZoneRule(job.spec, sites), offset(job), most)
+        if (found.isEmpty()) return
+        val next = job.place(found.mapValues { (_, s) -> Job.Host(s.machine.name, s.tenure) })
+        val base = Settlement.write(job, next, term)
+        val hosts = found.values.distinct().associate { Keys.HOST + it.machine.name to it.machine.stamp }
+        val fence = if (team.limited) mapOf(fenceKey to hub.world.stamp(fenceKey)) else emptyMap()
+        val bump = if (team.limited) listOf(Change.Put(fenceKey, mapOf("job" to job.id))) else emptyList()
+        use.add(team.name, job.spec.need * found.size)
+        val sent = hub.commit(Cause.ARRAY, Txn(base.conditions + hosts + fence, base.changes + bump)) { outcome ->
+            if (outcome is Outcome.Committed) {
+                for ((i, s) in found) {
+                    log.info("job={} task={} attempt={} host={} term={} placed", job.id, i, next.placed(i)?.attempt, s.machine.name, term)
+                }
+            } else {
+                log.debug("job={} placement outcome={}", job.id, outcome)
+            }
+        }
+        if (!sent) log.debug("job={} placement waits for the write budget", job.id)
+    }
+
+    /** Parts start at different tasks so that they rarely want the same one. */
+    private fun offset(job: Job): Int {
+        val members = hub.world.assignment?.members?.map { it.name }?.sorted() ?: return 0
+        val at = members.indexOf(hub.me.name).coerceAtLeast(0)
+        return (job.spec.shards.toLong() * at / members.size.coerceAtLeast(1)).toInt()
+    }
+
+    private companion object {
+        val log = LoggerFactory.getLogger("flaxfield.arrays")
+
+        /** Bounded work per decision; the rest follows in the next one. */
+        const val MOST_PER_JOB = 64
+
+        /** Summaries are written at most this often, in report intervals. */
+        const val SUMMARY_REPORTS = 0.4
+        const val NS = 1e9
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
@@ -0,0 +1,347 @@
+package flaxfield.fleet
+
+import flaxfield.arrays.HostState
+import flaxfield.jobs.Job
+import flaxfield.jobs.JobSpec
+import flaxfield.jobs.Settlement
+import flaxfield.jobs.TaskEvent
+import flaxfield.node.Hub
+import flaxfield.quota.JobOrder
+import flaxfield.quota.TeamUse
+import flaxfield.store.Cause
+import flaxfield.store.Change
+import flaxfield.store.Keys
+import flaxfield.store.Outcome
+import flaxfield.store.Txn
+import org.slf4j.LoggerFactory
+
+/** The leader's dealings with the cloud: types, rentals, the list and returns. */
+class FleetDesk(private val hub: Hub, private val cloud: CloudClient, private val settlement: Settlement) {
+    private class Refusal(val untilNs: Long, val times: Int)
+
+    private var leading = false
+    private var tokens = 0.0
+    private var tokensNs = 0L
+    private var flavorsOpen = false
+    private var nextFlavorsNs = 0L
+    private var listOpen = false
+    private var nextListNs = 0L
+    private var nextPlanNs = 0L
+    private var returnOpen = false
+    private var hireCount = 0
+    private val asking = HashMap<String, Long>()
+    private val refused = HashMap<Offer, Refusal>()
+    private val idleSinceNs = HashMap<String, Long>()
+    private val unknownSinceNs = HashMap<String, Long>()
+    private val failed = HashSet<String>()
+
+    /** When jobs of a class came, for the spare machines; filled from the view. */
+    private val arrivals = HashMap<String, ArrayDeque<Pair<String, Long>>>()
+    private val lastOfClass = HashMap<String, Job>()
+
+    fun run() {
+        watchArrivals()
+        if (!hub.leads()) {
+            if (leading) forget()
+            return
+        }
+        if (!leading) {
+            leading = true
+            log.info("leader under term={}: dealing with the cloud", hub.term())
+        }
+        askFlavors()
+        askHires()
+        giveBack()
+        askList()
+        if (hub.nowNs >= nextPlanNs && hub.world.flavors.isNotEmpty()) {
+            nextPlanNs = hub.nowNs + (hub.settings.workers.reportS * PLAN_REPORTS * NS).toLong()
+            retire()
+            rent()
+        }
+    }
+
+    private fun forget() {
+        leading = false
+        idleSinceNs.clear()
+        unknownSinceNs.clear()
+        asking.clear()
+        nextListNs = 0
+        nextFlavorsNs = 0
+    }
+
+    /** The cloud's limit with its burst of two seconds' worth, a little below. */
+    private fun cloudAllows(): Boolean {
+        val now = hub.nowNs
+        val rate = hub.settings.cloudRps * CLOUD_SHARE
+        tokens = if (tokensNs == 0L) rate else minOf(rate * 2, tokens + rate * (now - tokensNs) / NS)
+        tokensNs = now
+        if (tokens < 1.0) return false
+        tokens -= 1.0
+        return true
+    }
+
+    private fun askFlavors() {
+        if (flavorsOpen || hub.nowNs < nextFlavorsNs || hub.isBusy(Keys.TYPES)) return
+        if (hub.world.flavors.isNotEmpty() && hub.nowMs - hub.world.flavorsAtMs < FLAVORS_S * MS) return
+        if (!cloudAllows()) return
+        flavorsOpen = true
+        cloud.flavors { got ->
+            hub.post {
+                flavorsOpen = false
+                nextFlavorsNs = hub.nowNs + (if (got == null) hub.settings.workers.reportS / 2 else FLAVORS_S).times(NS).toLong()
+                if (got != null && hub.leads()) {
+                    val conditions = Settlement.fence(hub) + (Keys.TYPES to hub.world.stamp(Keys.TYPES))
+                    val put = Change.Put(Keys.TYPES, FleetCodec.encodeFlavors(got.values, hub.nowMs))
+                    hub.commit(Cause.FLEET, Txn(conditions, listOf(put)))
+                }
+            }
+        }
+    }
+
+    /** Sends each written hire until it has a clear answer. */
+    private fun askHires() {
+        asking.keys.retainAll(hub.world.hires.keys)
+        for (h in hub.world.hires.values) {
+            if (hub.isBusy(Keys.HIRE + h.name)) continue
+            if (hub.nowNs < (asking[h.name] ?: 0L)) continue
+            if (!cloudAllows()) return
+            asking[h.name] = Long.MAX_VALUE
+            cloud.rent(h) { r -> hub.post { rented(h, r) } }
+        }
+    }
+
+    private fun rented(h: Hire, r: Rented) {
+        log.info("hire={} flavor={} site={} lendable={} count={} answer={}", h.name, h.flavor, h.site, h.lendable, h.count, r)
+        asking[h.name] = hub.nowNs + (hub.settings.workers.reportS / 2 * NS).toLong()
+        val offer = Offer(h.flavor, h.site, h.lendable)
+        when (r) {
+            is Rented.Unclear -> return
+            is Rented.NoCapacity, is Rented.Malformed -> refuse(offer)
+            is Rented.Hosts -> if (r.names.size < h.count) refuse(offer) else refused.remove(offer)
+        }
+        if (!hub.leads() || hub.world.hires[h.name] == null) return
+        val names = (r as? Rented.Hosts)?.names.orEmpty().filter { it !in hub.world.machines }
+        // The hire is dropped with the last of its hosts, so that none is forgotten in between.
+        val room = hub.settings.stateLimits.txnOps - 1
+        val now = hub.nowMs
+        val changes = names.take(room).map {
+            val m = Machine(it, h.flavor, h.site, h.lendable, MachinePhase.UP, now, null, 0uL)
+            Change.Put(Keys.HOST + it, FleetCodec.encode(m))
+        }
+        val last = if (names.size <= room) listOf(Change.Drop(Keys.HIRE + h.name)) else emptyList()
+        val conditions = Settlement.fence(hub) + (Keys.HIRE + h.name to h.stamp)
+        hub.commit(Cause.FLEET, Txn(conditions, changes + last)) { if (it !is Outcome.Committed) asking[h.name] = 0L }
+    }
+
+    private fun refuse(offer: Offer) {
+        val times = (refused[offer]?.times ?: 0) + 1
+        val wait = hub.settings.listLagS * (1 shl minOf(times - 1, REFUSED_DOUBLINGS))
+        refused[offer] = Refusal(hub.nowNs + (wait * NS).toLong(), times)
+    }
+
+    private fun askList() {
+        if (listOpen || hub.nowNs < nextListNs || !cloudAllows()) return
+        listOpen = true
+        readList(null, ArrayList())
+    }
+
+    private fun readList(from: String?, soFar: ArrayList<Listed>) {
+        cloud.list(from) { page ->
+            hub.post {
+                if (page == null) {
+                    listOpen = false
+                    nextListNs = hub.nowNs + (hub.settings.listLagS * NS).toLong()
+                } else {
+                    soFar += page.hosts
+                    if (page.more && page.hosts.isNotEmpty()) readList(page.hosts.last().host, soFar) else listed(soFar)
+                }
+            }
+        }
+    }
+
+    /** The list lags, so it is a hint, but for `failed`: a machine that has stopped by itself stays so. */
+    private fun listed(hosts: List<Listed>) {
+        listOpen = false
+        nextListNs = hub.nowNs + (hub.settings.listLagS * LIST_LAGS * NS).toLong()
+        for (l in hosts) {
+            if (l.failed && l.host in hub.world.machines) failed += l.host
+        }
+        val unknown = hosts.map { it.host }.filter { it !in hub.world.machines }.toSet()
+        unknownSinceNs.keys.retainAll(unknown)
+        for (u in unknown) unknownSinceNs.putIfAbsent(u, hub.nowNs)
+    }
+
+    /** Returns what is marked as retiring, and machines listed for long that nobody knows. */
+    private fun giveBack() {
+        if (returnOpen) return
+        val limit = ((hub.settings.listLagS * 2 + GONE_LISTED_S) * NS).toLong()
+        val strangers = unknownSinceNs.filterValues { hub.nowNs - it > limit }.keys
+        val retiring = hub.world.machines.values.filter { it.phase == MachinePhase.RETIRING && !hub.isBusy(Keys.HOST + it.name) }
+            .map { it.name }
+        val names = (retiring + strangers).take(MOST_RETURNED)
+        if (names.isEmpty() || !cloudAllows()) return
+        returnOpen = true
+        cloud.giveBack(names) { ok ->
+            hub.post {
+                returnOpen = false
+                log.info("hosts={} returned, answered={}", names, ok)
+                if (ok) for (n in names) returned(n)
+            }
+        }
+    }
+
+    /** The answer to a return proves that the machine and everything on it is gone. */
+    private fun returned(host: String) {
+        unknownSinceNs.remove(host)
+        failed.remove(host)
+        idleSinceNs.remove(host)
+        val m = hub.world.machines[host] ?: return
+        if (!hub.leads()) return
+        val records = hub.world.on(host)
+        for (r in records) {
+            settlement.add(TaskEvent.Left(r.job.id, r.placed.index, r.placed.attempt, host, "machine returned", false))
+        }
+        if (records.isEmpty()) {
+            hub.commit(Cause.FLEET, Txn(Settlement.fence(hub) + (Keys.HOST + host to m.stamp), listOf(Change.Drop(Keys.HOST + host))))
+        }
+    }
+
+    private fun retire() {
+        val w = hub.world
+        val changes = ArrayList<Change>()
+        val conditions = HashMap(Settlement.fence(hub))
+        for (m in w.machines.values) {
+            if (m.phase != MachinePhase.UP || hub.isBusy(Keys.HOST + m.name)) continue
+            val why = reasonToRetire(m) ?: continue
+            if (changes.size >= hub.settings.stateLimits.txnOps) break
+            conditions[Keys.HOST + m.name] = m.stamp
+            changes += Change.Put(Keys.HOST + m.name, FleetCodec.encode(m.copy(phase = MachinePhase.RETIRING, claim = null)))
+            log.info("host={} flavor={} term={} to be returned: {}", m.name, m.flavor, hub.term(), why)
+        }
+        if (changes.isNotEmpty()) hub.commit(Cause.FLEET, Txn(conditions, changes))
+    }
+
+    private fun reasonToRetire(m: Machine): String? {
+        val w = hub.world
+        val flavor = w.flavors[m.flavor] ?: return null
+        if (m.name in failed) return "listed as failed"
+        val room = w.hostRoom(m.name) ?: return null
+        val on = w.on(m.name)
+        val limit = hub.settings.workers.cancelS * CANCEL_SHARE * MS
+        val overdue = on.firstOrNull { r -> r.job.cancelledMs?.let { hub.nowMs - it > limit } ?: false }
+        return when {
+            room.state == HostState.SILENT -> "silent"
+            room.state == HostState.FAULTY -> "faulty"
+            room.state == HostState.UNSEEN && on.isEmpty() && hub.nowMs - m.sinceMs > flavor.readyS * BOOT_FACTOR * MS -> "never came up"
+            overdue != null -> "cancelled ${overdue.job.id} is still on it"
+            else -> {
+                val idle = idleSinceNs[m.name]
+                val keep = flavor.readyS * hub.operator.keepIdleBoots
+                if (idle != null && on.isEmpty() && m.claim?.term != hub.term() && hub.nowNs - idle > keep * NS) "idle" else null
+            }
+        }
+    }
+
+    private fun rent() {
+        val w = hub.world
+        val bins = ArrayList<Bin>()
+        val now = hub.nowNs
+        val term = hub.term()
+        for (m in w.machines.values.sortedBy { it.name }) {
+            if (m.phase != MachinePhase.UP || m.claim?.term == term) continue
+            val state = w.hostRoom(m.name)?.state ?: HostState.UNSEEN
+            if (state != HostState.OK && state != HostState.UNSEEN) continue
+            bins += Bin(m.name, m.flavor, m.site, m.lendable, w.free(m) ?: continue)
+        }
+        for (h in w.hires.values) {
+            val room = w.flavors[h.flavor]?.room ?: continue
+            repeat(h.count) { bins += Bin(null, h.flavor, h.site, h.lendable, room) }
+        }
+        // Machines that save a booting one come first: cheap kinds before ordinary ones.
+        bins.sortBy { if (it.lendable) 0 else 1 }
+        val packing = FleetRules.pack(demands(), bins, w.flavors, MOST_NEW) { o ->
+            val r = refused[o]
+            val f = w.flavors[o.flavor]
+            if (f == null || r != null && now < r.untilNs) null else if (o.lendable) f.lowRate else f.rate
+        }
+        for (m in w.machines.values) {
+            val idle = m.phase == MachinePhase.UP && w.on(m.name).isEmpty() && m.name !in packing.usedHosts &&
+                w.hostRoom(m.name)?.state == HostState.OK
+            if (idle) idleSinceNs.putIfAbsent(m.name, now) else idleSinceNs.remove(m.name)
+        }
+        idleSinceNs.keys.retainAll(w.machines.keys)
+        for ((offer, n) in packing.rent) hire(offer, minOf(n, MOST_PER_HIRE))
+    }
+
+    private fun hire(offer: Offer, n: Int) {
+        val h = Hire("${hub.me.name}-${hub.me.incarnation}-${++hireCount}", offer.flavor, offer.site, offer.lendable, n, hub.nowMs, 0uL)
+        val conditions = Settlement.fence(hub) + (Keys.HIRE + h.name to 0uL)
+        val sent = hub.commit(Cause.FLEET, Txn(conditions, listOf(Change.Put(Keys.HIRE + h.name, FleetCodec.encode(h)))))
+        if (sent) log.info("hire={} flavor={} site={} lendable={} count={} term={} wanted", h.name, h.flavor, h.site, h.lendable, n, hub.term())
+    }
+
+    private fun demands(): List<Demand> {
+        val w = hub.world
+        val use = TeamUse(w.jobs.values, hub.settings.teams)
+        val guaranteed = JobOrder.guaranteed(w.jobs.values, hub.settings.teams)
+        val term = hub.term()
+        val claimed = w.machines.values.mapNotNullTo(HashSet()) { m -> m.claim?.takeIf { it.term == term }?.job }
+        val waiting = w.jobs.values.filter { it.pendingCount > 0 && !it.cancelled && it.id !in claimed && it.retryAtMs <= hub.nowMs }
+        val result = ArrayList<Demand>()
+        for (j in JobOrder.sort(waiting, guaranteed, use)) {
+            val n = minOf(j.pendingCount, use.allows(j.spec.owner, j.spec.need))
+            if (n <= 0 || j.isGang && n < j.spec.shards) continue
+            use.add(j.spec.owner, j.spec.need * n)
+            result += Demand(j.spec, n)
+        }
+        return result + FleetRules.spares(lastOfClass.values.toList(), rates(), ::lead, hub.operator.spareFactor)
+    }
+
+    /** What a job of this shape waits for on a fresh machine: boot and image. */
+    private fun lead(spec: JobSpec): Double {
+        val f = hub.world.flavors.values.filter { flaxfield.jobs.Validation.allowed(spec, it) }.minByOrNull { it.rate } ?: return 0.0
+        return f.readyS + spec.pullGb / f.fetchGbPerS
+    }
+
+    private fun rates(): Map<String, Double> = arrivals.mapValues { (_, seen) ->
+        val from = hub.nowMs - (RATE_WINDOW_S * MS).toLong()
+        while (seen.isNotEmpty() && seen.first().second < from) seen.removeFirst()
+        seen.size / RATE_WINDOW_S
+    }
+
+    private fun watchArrivals() {
+        for (j in hub.world.jobs.values) {
+            if (!j.isGang) continue
+            val seen = arrivals.getOrPut(j.spec.jobClass) { ArrayDeque() }
+            if (seen.any { it.first == j.id } || j.submittedMs < hub.nowMs - RATE_WINDOW_S * MS) continue
+            seen.addLast(j.id to j.submittedMs)
+            if (seen.size > MOST_ARRIVALS) seen.removeFirst()
+            lastOfClass[j.spec.jobClass] = j
+        }
+    }
+
+    private companion object {
+        val log = LoggerFactory.getLogger("flaxfield.fleet")
+        const val NS = 1e9
+        const val MS = 1000.0
+        const val CLOUD_SHARE = 0.9
+        const val FLAVORS_S = 60.0
+        const val PLAN_REPORTS = 0.25
+        const val LIST_LAGS = 1.0
+        const val REFUSED_DOUBLINGS = 3
+
+        /** PROTOCOL-flaxfield.md: a machine that dies stays listed for about 30 s more. */
+        const val GONE_LISTED_S = 30.0
+        const val MOST_RETURNED = 100
+        const val MOST_PER_HIRE = 50
+        const val MOST_NEW = 60
+
+        /** "Some machines take several times as long": after this many boot times it never comes. */
+        const val BOOT_FACTOR = 3.2
+
+        /** A cancelled task still there after this share of `cancel_s` costs its machine. */
+        const val CANCEL_SHARE = 0.5
+        const val RATE_WINDOW_S = 120.0
+        const val MOST_ARRIVALS = 200
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/flaxfield/fleet/Machine.kt
@@ -0,0 +1,106 @@
+package flaxfield.fleet
+
+import flaxfield.codec.Obj
+import flaxfield.jobs.Room
+import flaxfield.store.Keys
+
+/** A machine type as the cloud offers it. */
+data class Flavor(
+    val label: String,
+    val room: Room,
+    val cacheGb: Double,
+    val fetchGbPerS: Double,
+    val rate: Double,
+    val lowRate: Double,
+    val readyS: Double,
+    val sites: List<String>,
+)
+
+enum class MachinePhase { UP, RETIRING }
+
+/** A room claimed for a gang by the leader; void under any other term than the one it was made in. */
+data class Claim(val job: String, val term: ULong, val tasks: Int, val evict: Boolean)
+
+/** A machine we pay for, from its rental to the answer to its return. */
+data class Machine(
+    val name: String,
+    val flavor: String,
+    val site: String,
+    val lendable: Boolean,
+    val phase: MachinePhase,
+    val sinceMs: Long,
+    val claim: Claim?,
+    val stamp: ULong,
+)
+
+/** A rental written down before it is asked for, so that a new leader can ask again under the same name. */
+data class Hire(
+    val name: String,
+    val flavor: String,
+    val site: String,
+    val lendable: Boolean,
+    val count: Int,
+    val sinceMs: Long,
+    val stamp: ULong,
+)
+
+object FleetCodec {
+    fun encode(m: Machine): Map<String, Any?> = mapOf(
+        "flavor" to m.flavor,
+        "site" to m.site,
+        "lendable" to m.lendable,
+        "retiring" to (m.phase == MachinePhase.RETIRING),
+        "at" to m.sinceMs,
+        "claim" to m.claim?.let { mapOf("job" to it.job, "term" to it.term, "tasks" to it.tasks, "evict" to it.evict) },
+    )
+
+    fun machine(o: Obj, key: String, stamp: ULong) = Machine(
+        key.removePrefix(Keys.HOST),
+        o.needText("flavor"),
+        o.needText("site"),
+        o.needFlag("lendable"),
+        if (o.flag("retiring") == true) MachinePhase.RETIRING else MachinePhase.UP,
+        o.needCount("at").toLong(),
+        o.obj("claim")?.let { Claim(it.needText("job"), it.needCount("term"), it.int("tasks") ?: 1, it.flag("evict") ?: false) },
+        stamp,
+    )
+
+    fun encode(h: Hire): Map<String, Any?> = mapOf(
+        "flavor" to h.flavor, "site" to h.site, "lendable" to h.lendable, "count" to h.count, "at" to h.sinceMs,
+    )
+
+    fun hire(o: Obj, key: String, stamp: ULong) = Hire(
+        key.removePrefix(Keys.HIRE),
+        o.needText("flavor"),
+        o.needText("site"),
+        o.needFlag("lendable"),
+        o.needInt("count"),
+        o.needCount("at").toLong(),
+        stamp,
+    )
+
+    fun encodeFlavors(all: Collection<Flavor>, atMs: Long): Map<String, Any?> = mapOf(
+        "at" to atMs,
+        "flavors" to all.map {
+            mapOf(
+                "label" to it.label, "vcpus" to it.room.cpus, "accelerators" to it.room.gpus,
+                "ram_gb" to it.room.ram, "local_gb" to it.cacheGb, "pull_gb_per_s" to it.fetchGbPerS,
+                "rate" to it.rate, "low_price" to it.lowRate, "ready_s" to it.readyS, "sites" to it.sites,
+            )
+        },
+    )
+
+    /** Reads the cloud's answer, or our own copy of it: both have the same shape. */
+    fun flavors(o: Obj): Map<String, Flavor> = o.objs("flavors").map {
+        Flavor(
+            it.needText("label"),
+            Room(it.needNumber("vcpus"), it.needNumber("accelerators"), it.needNumber("ram_gb")),
+            it.number("local_gb") ?: 0.0,
+            it.number("pull_gb_per_s") ?: 1.0,
+            it.needNumber("rate"),
+            it.number("low_price") ?: it.needNumber("rate"),
+            it.needNumber("ready_s"),
+            it.texts("sites").orEmpty(),
+        )
+    }.associateBy { it.label }
+}
--- /dev/null
+++ b/src/main/kotlin/flaxfield/gangs/GangDesk.kt
@@ -0,0 +1,219 @@
+package flaxfield.gangs
+
+import flaxfield.arrays.HostRoom
+import flaxfield.arrays.HostState
+import flaxfield.arrays.Seat
+import flaxfield.fleet.Claim
+import flaxfield.fleet.FleetCodec
+import flaxfield.fleet.Machine
+import flaxfield.fleet.MachinePhase
+import flaxfield.jobs.Job
+import flaxfield.jobs.Settlement
+import flaxfield.node.Hub
+import flaxfield.quota.JobOrder
+import flaxfield.quota.TeamUse
+import flaxfield.store.Cause
+import flaxfield.store.Change
+import flaxfield.store.Keys
+import flaxfield.store.Outcome
+import flaxfield.store.Txn
+import org.slf4j.LoggerFactory
+
+/** The leader's gangs: gate, round, claims, one commit. */
+class GangDesk(private val hub: Hub) {
+    private class Parked(val untilNs: Long, val times: Int)
+
+    private val parked = HashMap<String, Parked>()
+    private val claimedSince = HashMap<String, Long>()
+
+    /** Free room seen at the last run: more of it wakes the parked. */
+    private var lastFree = 0.0
+
+    fun run() {
+        if (!hub.leads()) {
+            parked.clear()
+            claimedSince.clear()
+            return
+        }
+        val term = hub.term() ?: return
+        val w = hub.world
+        val claims = w.machines.values.filter { it.claim?.term == term }.groupBy { it.claim?.job.orEmpty() }
+        claimedSince.keys.retainAll(claims.keys)
+        val gangs = w.jobs.values.filter { it.isGang }
+        if (gangs.isEmpty() && claims.isEmpty()) return
+        val use = TeamUse(w.jobs.values, hub.settings.teams)
+        val guaranteed = JobOrder.guaranteed(w.jobs.values, hub.settings.teams)
+        for ((id, machines) in claims) claimed(id, machines, use, term)
+        val waiting = gangs.filter {
+            it.placedCount == 0 && !it.complete && !it.cancelled && it.retryAtMs <= hub.nowMs && it.id !in claims &&
+                !hub.isBusy(Keys.JOB + it.id) && GangRound.gate(it)
+        }
+        parked.keys.retainAll(waiting.mapTo(HashSet()) { it.id })
+        if (waiting.isEmpty()) return
+        val seats = seats(term)
+        wake(seats)
+        var rounds = 0
+        for (job in JobOrder.sort(waiting, guaranteed, use)) {
+            val p = parked[job.id]
+            if (p != null && hub.nowNs < p.untilNs) continue
+            if (rounds++ >= MOST_ROUNDS) break
+            round(job, seats, use, guaranteed, term)
+        }
+    }
+
+    private fun wake(seats: List<Seat>) {
+        val free = seats.sumOf { it.free.cpus + it.free.gpus }
+        if (free > lastFree) parked.clear()
+        lastFree = free
+    }
+
+    private fun seats(term: ULong): List<Seat> = hub.world.machines.values.mapNotNull { m -> seat(m, term) }
+
+    private fun seat(m: Machine, term: ULong): Seat? {
+        if (m.phase != MachinePhase.UP || m.claim?.term == term || hub.isBusy(Keys.HOST + m.name)) return null
+        val room = hub.world.hostRoom(m.name)?.takeIf { it.state == HostState.OK } ?: return null
+        return seat(m, room)
+    }
+
+    private fun seat(m: Machine, room: HostRoom): Seat? {
+        val free = hub.world.free(m) ?: return null
+        return Seat(m, room.tenure, free, room.images.toSet(), hub.world.on(m.name).isEmpty())
+    }
+
+    private fun round(job: Job, seats: List<Seat>, use: TeamUse, guaranteed: Set<String>, term: ULong) {
+        if (use.allows(job.spec.owner, job.spec.need) < job.spec.shards) return park(job, "the team's limit")
+        when (val r = GangRound.run(job, seats)) {
+            is Round.Full -> claim(job, r.seats, evict = false, term)
+            is Round.Short -> {
+                val cleared = withEviction(job, seats, use, job.id in guaranteed)
+                val second = if (cleared == null) r else GangRound.run(job, cleared)
+                if (second is Round.Full) {
+                    claim(job, second.seats, evict = true, term)
+                } else {
+                    park(job, "short: assumed ${r.assumed}, left ${r.left}")
+                }
+            }
+        }
+    }
+
+    /** The seats as they would be without the tasks that this gang may take the place of. */
+    private fun withEviction(job: Job, seats: List<Seat>, use: TeamUse, guaranteed: Boolean): List<Seat>? {
+        var any = false
+        val cleared = seats.map { s ->
+            var free = s.free
+            for (r in hub.world.on(s.machine.name)) {
+                if (r.placed.stopping || r.job.cancelled || !r.job.isGang && JobOrder.mayPreempt(job, guaranteed, r.job, use)) {
+                    free += r.job.spec.need
+                    any = true
+                }
+            }
+            Seat(s.machine, s.tenure, free, s.images, s.empty)
+        }
+        return if (any) cleared else null
+    }
+
+    private fun claim(job: Job, seats: Map<Int, Seat>, evict: Boolean, term: ULong) {
+        val perHost = seats.values.groupingBy { it.machine }.eachCount()
+        if (perHost.size > hub.settings.stateLimits.txnOps) return park(job, "more machines than one transaction takes")
+        val conditions = HashMap(Settlement.fence(hub))
+        val changes = perHost.map { (m, n) ->
+            conditions[Keys.HOST + m.name] = m.stamp
+            Change.Put(Keys.HOST + m.name, FleetCodec.encode(m.copy(claim = Claim(job.id, term, n, evict))))
+        }
+        val sent = hub.commit(Cause.GANG, Txn(conditions, changes)) { outcome ->
+            log.info("job={} term={} claims={} evict={} outcome={}", job.id, term, perHost.keys.map { it.name }, evict, outcome)
+        }
+        if (!sent) {
+            for (s in seats.values) s.free += job.spec.need
+            log.debug("job={} claim waits for the write budget", job.id)
+        }
+    }
+
+    /** A gang whose claims are in the view: its real room decides. */
+    private fun claimed(id: String, machines: List<Machine>, use: TeamUse, term: ULong) {
+        if (machines.any { hub.isBusy(Keys.HOST + it.name) } || hub.isBusy(Keys.JOB + id)) return
+        val job = hub.world.jobs[id]
+        if (job == null || job.cancelled || job.placedCount > 0) return release(id, machines, "the gang is gone")
+        val since = claimedSince.getOrPut(id) { hub.nowNs }
+        val seats = machines.mapNotNull { m ->
+            hub.world.hostRoom(m.name)?.takeIf { it.state == HostState.OK && m.phase == MachinePhase.UP }?.let { seat(m, it) }
+        }
+        val r = GangRound.run(job, seats)
+        if (r is Round.Full) return commit(job, r.seats, machines, use, term)
+        val patience = (hub.settings.workers.reportS * CLAIM_REPORTS + job.spec.saveS) * NS
+        val hopeless = seats.size < machines.size || machines.none { it.claim?.evict == true }
+        if (hopeless || hub.nowNs - since > patience) {
+            release(id, machines, "claimed room is not there")
+            park(job, "claimed room is not there")
+        }
+    }
+
+    private fun commit(job: Job, seats: Map<Int, Seat>, machines: List<Machine>, use: TeamUse, term: ULong) {
+        val team = hub.settings.teams[job.spec.owner] ?: return
+        if (use.allows(team.name, job.spec.need) < job.spec.shards) {
+            release(job.id, machines, "the team's limit")
+            return park(job, "the team's limit")
+        }
+        val fenceKey = Keys.TEAM + team.name
+        if (team.limited && hub.isBusy(fenceKey)) return
+        val attempt = job.nextGangAttempt()
+        val next = job.place(seats.mapValues { (_, s) -> Job.Host(s.machine.name, s.tenure) }, attempt)
+        val base = Settlement.write(job, next, term)
+        val conditions = HashMap(base.conditions)
+        val changes = ArrayList(base.changes)
+        for (m in machines) {
+            conditions[Keys.HOST + m.name] = m.stamp
+            changes += Change.Put(Keys.HOST + m.name, FleetCodec.encode(m.copy(claim = null)))
+        }
+        if (team.limited) {
+            conditions[fenceKey] = hub.world.stamp(fenceKey)
+            changes += Change.Put(fenceKey, mapOf("job" to job.id))
+        }
+        if (changes.size > hub.settings.stateLimits.txnOps) {
+            release(job.id, machines, "more changes than one transaction takes")
+            return park(job, "more changes than one transaction takes")
+        }
+        use.add(team.name, job.spec.need * job.spec.shards)
+        hub.commit(Cause.GANG, Txn(conditions, changes)) { outcome ->
+            if (outcome is Outcome.Committed) {
+                for ((i, s) in seats) {
+                    log.info("job={} task={} attempt={} host={} term={} gang placed", job.id, i, attempt, s.machine.name, term)
+                }
+            } else {
+                log.info("job={} term={} gang commit outcome={}", job.id, term, outcome)
+            }
+        }
+    }
+
+    private fun release(id: String, machines: List<Machine>, why: String) {
+        val conditions = HashMap(Settlement.fence(hub))
+        val changes = machines.take(hub.settings.stateLimits.txnOps).map { m ->
+            conditions[Keys.HOST + m.name] = m.stamp
+            Change.Put(Keys.HOST + m.name, FleetCodec.encode(m.copy(claim = null)))
+        }
+        if (hub.commit(Cause.GANG, Txn(conditions, changes))) log.info("job={} claims released: {}", id, why)
+    }
+
+    private fun park(job: Job, why: String) {
+        val times = (parked[job.id]?.times ?: 0) + 1
+        val wait = hub.settings.workers.reportS * PARK_REPORTS * (1 shl minOf(times - 1, MOST_DOUBLINGS))
+        parked[job.id] = Parked(hub.nowNs + (wait * NS).toLong(), times)
+        if (times == 1) log.info("job={} parked: {}", job.id, why) else log.debug("job={} parked: {}", job.id, why)
+    }
+
+
+    private companion object {
+        val log = LoggerFactory.getLogger("flaxfield.gangs")
+        const val NS = 1e9
+
+        /** Rounds in one batch: a team's huge gangs must not take the leader's whole turn. */
+        const val MOST_ROUNDS = 16
+
+        /** The first parking wait, in report intervals; each further one is twice as long. */
+        const val PARK_REPORTS = 0.25
+        const val MOST_DOUBLINGS = 4
+
+        /** Claimed machines get this many report intervals for halted tasks to leave. */
+        const val CLAIM_REPORTS = 4.0
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/flaxfield/gangs/GangRound.kt
@@ -0,0 +1,75 @@
+package flaxfield.gangs
+
+import flaxfield.arrays.Seat
+import flaxfield.arrays.ZoneRule
+import flaxfield.jobs.Job
+
+/** The outcome of one round for one gang. */
+sealed interface Round {
+    /** Every member has a seat. */
+    data class Full(val seats: Map<Int, Seat>) : Round
+
+    /** The minimum can't be reached; all assumed room has been given back. */
+    data class Short(val assumed: Int, val left: Int) : Round
+}
+
+/** Pure: the gang's count gate and its one round with early stop. */
+object GangRound {
+    /** The gate: the record must list at least the minimum count of tasks. */
+    fun gate(job: Job, listed: Int = job.spec.shards): Boolean = listed >= minimum(job)
+
+    /** Starts at the task count; a later request to lower it would come in here. */
+    fun minimum(job: Job): Int = job.spec.shards
+
+    /**
+     * Assumes a seat for each task in turn and stops once tasks left plus tasks assumed fall below the
+     * minimum. With `same_place` each zone is tried, the one with the most free seats first.
+     */
+    fun run(job: Job, seats: List<Seat>): Round {
+        val spec = job.spec
+        val fit = seats.filter {
+            ZoneRule.kindAllowed(spec, it.machine.flavor, it.machine.site, it.machine.lendable) &&
+                it.machine.name !in job.errorHosts && it.free.holds(spec.need)
+        }
+        if (!spec.samePlace) return oneRound(job, fit)
+        var best = Round.Short(0, spec.shards)
+        val zones = fit.groupBy { it.machine.site }.values
+            .sortedWith(compareByDescending<List<Seat>> { z -> z.any { spec.bundle in it.images } }.thenByDescending { it.size })
+        for (zone in zones) {
+            when (val r = oneRound(job, zone)) {
+                is Round.Full -> return r
+                is Round.Short -> if (r.assumed > best.assumed) best = r
+            }
+        }
+        return best
+    }
+
+    private fun oneRound(job: Job, fit: List<Seat>): Round {
+        val spec = job.spec
+        val rule = ZoneRule(spec, emptyList())
+        val assumed = LinkedHashMap<Int, Seat>()
+        val minimum = minimum(job)
+        val order = fit.sortedWith(
+            compareBy<Seat> { if (spec.bundle in it.images) 0 else 1 }
+                .thenBy { if (it.empty) 0 else 1 }
+                .thenBy { if (spec.lendable && !it.machine.lendable) 1 else 0 }
+                .thenBy { it.free.gpus }
+                .thenBy { it.free.cpus }
+                .thenBy { it.machine.name },
+        )
+        for (task in 0 until spec.shards) {
+            val seat = order.firstOrNull { it.free.holds(spec.need) && rule.allows(it.machine.site) }
+            if (seat != null) {
+                seat.free -= spec.need
+                rule.add(seat.machine.site)
+                assumed[task] = seat
+            }
+            val left = spec.shards - task - 1
+            if (left + assumed.size < minimum) {
+                for (s in assumed.values) s.free += spec.need
+                return Round.Short(assumed.size, left)
+            }
+        }
+        return Round.Full(assumed)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/flaxfield/jobs/Job.kt
@@ -0,0 +1,153 @@
+package flaxfield.jobs
+
+import java.util.BitSet
+
+enum class Shape { ARRAY, GANG }
+
+/** From the least to the most urgent; a later one may preempt an earlier one. */
+enum class Urgency { IDLE, STANDARD, HIGH, PROD }
+
+/** What one task takes of its machine, or what a machine has. */
+data class Room(val cpus: Double, val gpus: Double, val ram: Double) {
+    operator fun plus(o: Room) = Room(cpus + o.cpus, gpus + o.gpus, ram + o.ram)
+
+    operator fun minus(o: Room) = Room(cpus - o.cpus, gpus - o.gpus, ram - o.ram)
+
+    operator fun times(n: Int) = Room(cpus * n, gpus * n, ram * n)
+
+    /** Whether a task of size [need] fits in here. */
+    fun holds(need: Room): Boolean =
+        cpus + EPSILON >= need.cpus && gpus + EPSILON >= need.gpus && ram + EPSILON >= need.ram
+
+    /** How many tasks of size [need] fit in here. */
+    fun count(need: Room): Int = minOf(parts(cpus, need.cpus), parts(gpus, need.gpus), parts(ram, need.ram))
+
+    private fun parts(have: Double, need: Double): Int =
+        if (need <= 0.0) Int.MAX_VALUE else ((have + EPSILON) / need).toInt().coerceAtLeast(0)
+
+    companion object {
+        val NONE = Room(0.0, 0.0, 0.0)
+
+        /** Amounts are decimal numbers: sums of a few of them must not fail on the last bit. */
+        private const val EPSILON = 1e-6
+    }
+}
+
+/** What a user submitted; it never changes. */
+data class JobSpec(
+    val id: String,
+    val jobClass: String,
+    val owner: String,
+    val shape: Shape,
+    val urgency: Urgency,
+    val shards: Int,
+    val need: Room,
+    val bundle: String,
+    val pullGb: Double,
+    val flavors: Set<String>?,
+    val site: String?,
+    val samePlace: Boolean,
+    val scatter: Boolean,
+    val lendable: Boolean,
+    val expectS: Double,
+    val saveEveryS: Double,
+    val saveS: Double,
+    val dueS: Double?,
+)
+
+/** A task's recorded place: it may be on [host] until proof that it left. */
+data class Placed(val index: Int, val attempt: Long, val host: String, val tenure: ULong, val stopping: Boolean)
+
+/**
+ * The records of up to `chunkTasks` tasks. [next] is the next attempt number: it only grows, so that no
+ * task ever gets an attempt twice. [done] is treated as immutable: changes are made on a clone.
+ */
+data class Chunk(val next: Long, val done: BitSet, val placed: Map<Int, Placed>, val stamp: ULong) {
+    companion object {
+        fun empty() = Chunk(1, BitSet(), emptyMap(), 0uL)
+    }
+}
+
+/** An accepted job that is not over, as the store has it. Chunk 0 lives in the head's key. */
+data class Job(
+    val spec: JobSpec,
+    val submittedMs: Long,
+    val cancelledMs: Long?,
+    /** Hosts on which a task of this job ended with `error`. */
+    val errorHosts: List<String>,
+    val errors: Int,
+    /** No task is placed before this time of day: set when the job fails on one machine after another. */
+    val retryAtMs: Long,
+    val chunkTasks: Int,
+    val chunks: Map<Int, Chunk>,
+    val stamp: ULong,
+) {
+    val id: String get() = spec.id
+    val cancelled: Boolean get() = cancelledMs != null
+    val doneCount: Int by lazy(LazyThreadSafetyMode.NONE) { chunks.values.sumOf { it.done.cardinality() } }
+    val placedCount: Int by lazy(LazyThreadSafetyMode.NONE) { chunks.values.sumOf { it.placed.size } }
+    val complete: Boolean get() = doneCount >= spec.shards
+    val pendingCount: Int get() = spec.shards - doneCount - placedCount
+    val isGang: Boolean get() = spec.shape == Shape.GANG
+
+    fun chunk(index: Int): Chunk = chunks[index / chunkTasks] ?: Chunk.empty()
+
+    fun placed(index: Int): Placed? = chunks[index / chunkTasks]?.placed?.get(index)
+
+    fun isDone(index: Int): Boolean = chunks[index / chunkTasks]?.done?.get(index) ?: false
+
+    fun allPlaced(): Sequence<Placed> = chunks.values.asSequence().flatMap { it.placed.values.asSequence() }
+
+    /** Indexes of tasks neither done nor placed, starting at [from] and wrapping round. */
+    fun pending(from: Int = 0): Sequence<Int> = sequence {
+        for (step in 0 until spec.shards) {
+            val i = (from + step) % spec.shards
+            if (!isDone(i) && placed(i) == null) yield(i)
+        }
+    }
+
+    fun withChunk(number: Int, chunk: Chunk): Job = copy(chunks = chunks + (number to chunk))
+
+    /** Records tasks as placed; each gets the chunk's next attempt. */
+    fun place(where: Map<Int, Host>, attempt: Long? = null): Job {
+        var job = this
+        for ((number, part) in where.entries.groupBy { it.key / chunkTasks }) {
+            val chunk = job.chunks[number] ?: Chunk.empty()
+            val used = attempt ?: chunk.next
+            val added = part.associate { (i, h) -> i to Placed(i, used, h.name, h.tenure, false) }
+            job = job.withChunk(number, chunk.copy(next = used + 1, placed = chunk.placed + added))
+        }
+        return job
+    }
+
+    /** The attempt a whole gang gets: above all that any of its tasks had. */
+    fun nextGangAttempt(): Long = chunks.values.maxOfOrNull { it.next } ?: 1L
+
+    fun free(indexes: Collection<Int>): Job = edit(indexes) { c, i -> c.copy(placed = c.placed - i) }
+
+    fun stop(indexes: Collection<Int>): Job = edit(indexes) { c, i ->
+        val p = c.placed[i]
+        if (p == null) c else c.copy(placed = c.placed + (i to p.copy(stopping = true)))
+    }
+
+    fun finish(indexes: Collection<Int>): Job = edit(indexes) { c, i ->
+        val done = c.done.clone() as BitSet
+        done.set(i)
+        c.copy(done = done, placed = c.placed - i)
+    }
+
+    private fun edit(indexes: Collection<Int>, change: (Chunk, Int) -> Chunk): Job {
+        val next = HashMap(chunks)
+        for (i in indexes) {
+            val number = i / chunkTasks
+            next[number] = change(next[number] ?: Chunk.empty(), i)
+        }
+        return copy(chunks = next)
+    }
+
+    /** Where a task is put: a host and the tenure its worker last reported. */
+    data class Host(val name: String, val tenure: ULong)
+}
+
+/** A job that is over, in its compact form. */
+data class Finished(val id: String, val aborted: Boolean, val done: Int)
--- /dev/null
+++ b/src/main/kotlin/flaxfield/jobs/JobCodec.kt
@@ -0,0 +1,164 @@
+package flaxfield.jobs
+
+import flaxfield.codec.MalformedException
+import flaxfield.codec.Obj
+import java.util.BitSet
+
+/** Wire and store forms of jobs; the users' field names appear only here. */
+object JobCodec {
+    /** Longest text we take in any field: a job's head must fit its store value many times over. */
+    private const val MAX_TEXT = 200
+    private const val MAX_SHARDS = 100_000
+    private val ID = Regex("job-[0-9]{1,18}")
+
+    private val shapes = mapOf("sweep" to Shape.ARRAY, "group" to Shape.GANG)
+    private val urgencies = mapOf(
+        "prod" to Urgency.PROD,
+        "high" to Urgency.HIGH,
+        "standard" to Urgency.STANDARD,
+        "idle" to Urgency.IDLE,
+    )
+
+    /** Whether [id] has the form that every job id has. */
+    fun isId(id: String): Boolean = ID.matches(id)
+
+    /** Reads a submission; throws [MalformedException] for a missing or invalid field. */
+    fun spec(o: Obj): JobSpec {
+        val id = text(o, "id")
+        if (!isId(id)) throw MalformedException("id is invalid")
+        val shards = o.needInt("shards")
+        if (shards !in 1..MAX_SHARDS) throw MalformedException("shards is invalid")
+        val flavors = o.texts("flavors")
+        if (flavors == null && o.map["flavors"] != null) throw MalformedException("flavors is invalid")
+        return JobSpec(
+            id = id,
+            jobClass = text(o, "jobclass"),
+            owner = text(o, "owner"),
+            shape = shapes[o.text("shape")] ?: throw MalformedException("shape is invalid"),
+            urgency = urgencies[o.text("urgency")] ?: throw MalformedException("urgency is invalid"),
+            shards = shards,
+            need = Room(amount(o, "vcpus"), amount(o, "accelerators"), amount(o, "ram_gb")),
+            bundle = text(o, "bundle"),
+            pullGb = amount(o, "pull_gb"),
+            flavors = flavors?.toSet(),
+            site = optionalText(o, "site"),
+            samePlace = optionalFlag(o, "same_place"),
+            scatter = optionalFlag(o, "scatter"),
+            lendable = optionalFlag(o, "lendable"),
+            expectS = amount(o, "expect_s"),
+            saveEveryS = amount(o, "snapshot_every_s"),
+            saveS = amount(o, "snapshot_s"),
+            dueS = if (o.map["due_s"] == null) null else amount(o, "due_s"),
+        )
+    }
+
+    fun encodeSpec(s: JobSpec): Map<String, Any?> = mapOf(
+        "id" to s.id, "jobclass" to s.jobClass, "owner" to s.owner,
+        "shape" to shapes.entries.first { it.value == s.shape }.key,
+        "urgency" to urgencies.entries.first { it.value == s.urgency }.key,
+        "shards" to s.shards, "vcpus" to s.need.cpus, "accelerators" to s.need.gpus, "ram_gb" to s.need.ram,
+        "bundle" to s.bundle, "pull_gb" to s.pullGb, "flavors" to s.flavors?.toList(), "site" to s.site,
+        "same_place" to s.samePlace, "scatter" to s.scatter, "lendable" to s.lendable,
+        "expect_s" to s.expectS, "snapshot_every_s" to s.saveEveryS, "snapshot_s" to s.saveS, "due_s" to s.dueS,
+    )
+
+    /** The head's value: the job and its chunk 0. */
+    fun encodeHead(j: Job): Map<String, Any?> = mapOf(
+        "spec" to encodeSpec(j.spec),
+        "at" to j.submittedMs,
+        "cancelled" to j.cancelledMs,
+        "bad" to j.errorHosts,
+        "errors" to j.errors,
+        "retry" to j.retryAtMs,
+        "size" to j.chunkTasks,
+    ) + encodeChunk(j.chunks[0] ?: Chunk.empty())
+
+    fun decodeHead(o: Obj, stamp: ULong): Job = Job(
+        spec = spec(o.needObj("spec")),
+        submittedMs = o.needCount("at").toLong(),
+        cancelledMs = o.count("cancelled")?.toLong(),
+        errorHosts = o.texts("bad").orEmpty(),
+        errors = o.int("errors") ?: 0,
+        retryAtMs = o.count("retry")?.toLong() ?: 0,
+        chunkTasks = o.needInt("size"),
+        chunks = mapOf(0 to decodeChunk(o, stamp)),
+        stamp = stamp,
+    )
+
+    fun encodeChunk(c: Chunk): Map<String, Any?> = mapOf(
+        "next" to c.next,
+        "done" to ranges(c.done),
+        "placed" to c.placed.values.map { listOf(it.index, it.attempt, it.host, it.tenure, it.stopping) },
+    )
+
+    fun decodeChunk(o: Obj, stamp: ULong): Chunk {
+        val done = BitSet()
+        val ends = o.list("done").orEmpty().map { (it as Number).toInt() }
+        for (k in 0 until ends.size - 1 step 2) done.set(ends[k], ends[k + 1] + 1)
+        val placed = o.list("placed").orEmpty().map { row ->
+            row as List<*>
+            Placed(
+                (row[0] as Number).toInt(),
+                (row[1] as Number).toLong(),
+                row[2] as String,
+                (row[3] as Number).toLong().toULong(),
+                row[4] as Boolean,
+            )
+        }
+        return Chunk(o.needCount("next").toLong(), done, placed.associateBy { it.index }, stamp)
+    }
+
+    fun encodeFinished(f: Finished): Map<String, Any?> = mapOf("aborted" to f.aborted, "done" to f.done)
+
+    fun decodeFinished(id: String, o: Obj) = Finished(id, o.flag("aborted") ?: false, o.int("done") ?: 0)
+
+    /** The answer users get for a job that is not over. */
+    fun status(j: Job): Map<String, Any?> = mapOf(
+        "id" to j.id,
+        "phase" to when {
+            j.cancelled -> "aborted"
+            j.placedCount > 0 -> "running"
+            else -> "pending"
+        },
+        "done" to j.doneCount,
+        "running" to j.placedCount,
+    )
+
+    fun status(f: Finished): Map<String, Any?> =
+        mapOf("id" to f.id, "phase" to if (f.aborted) "aborted" else "done", "done" to f.done, "running" to 0)
+
+    /** Splits a task's name into its job's id and its number. */
+    fun task(name: String): Pair<String, Int>? {
+        val at = name.indexOf('/')
+        val index = if (at > 0) name.substring(at + 1).toIntOrNull() else null
+        return if (index == null || index < 0) null else name.substring(0, at) to index
+    }
+
+    fun taskName(id: String, index: Int): String = "$id/$index"
+
+    private fun ranges(bits: BitSet): List<Int> = buildList {
+        var from = bits.nextSetBit(0)
+        while (from >= 0) {
+            val to = bits.nextClearBit(from)
+            add(from)
+            add(to - 1)
+            from = bits.nextSetBit(to)
+        }
+    }
+
+    private fun text(o: Obj, key: String): String {
+        val t = o.needText(key)
+        if (t.isEmpty() || t.length > MAX_TEXT) throw MalformedException("$key is invalid")
+        return t
+    }
+
+    private fun optionalText(o: Obj, key: String): String? = if (o.map[key] == null) null else text(o, key)
+
+    private fun optionalFlag(o: Obj, key: String): Boolean = if (o.map[key] == null) false else o.needFlag(key)
+
+    private fun amount(o: Obj, key: String): Double {
+        val v = o.needNumber(key)
+        if (!(v >= 0.0) || v.isInfinite()) throw MalformedException("$key is invalid")
+        return v
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/flaxfield/jobs/JobDesk.kt
@@ -0,0 +1,243 @@
+package flaxfield.jobs
+
+import com.github.benmanes.caffeine.cache.Cache
+import com.github.benmanes.caffeine.cache.Caffeine
+import flaxfield.codec.MalformedException
+import flaxfield.codec.Wire
+import flaxfield.net.Body
+import flaxfield.net.Reply
+import flaxfield.node.Hub
+import flaxfield.store.Cause
+import flaxfield.store.Change
+import flaxfield.store.Keys
+import flaxfield.store.Outcome
+import flaxfield.store.Read
+import flaxfield.store.Txn
+import org.slf4j.LoggerFactory
+
+/** Users' requests: submit, status, cancel. Nothing is told before it is committed. */
+class JobDesk(private val hub: Hub) {
+    private class Waiter(val id: String, val reply: Reply, val sinceNs: Long, val then: (Job?) -> Unit) {
+        /** The view must have reached this ledger; null until a read has told it. */
+        var need: ULong? = null
+    }
+
+    private val finished: Cache<String, Finished> =
+        Caffeine.newBuilder().maximumSize(hub.operator.finishedCache.toLong()).executor(Runnable::run).build()
+    private val waiters = ArrayList<Waiter>()
+    private var confirming = false
+    private var nextConfirmNs = 0L
+    private val chunkTasks = (hub.settings.stateLimits.valueKb * KB * CHUNK_SHARE / RECORD_BYTES).toInt().coerceAtLeast(1)
+
+    fun submit(body: ByteArray, reply: Reply) {
+        val spec = try {
+            JobCodec.spec(Wire.decode(body))
+        } catch (e: MalformedException) {
+            return answer(reply, 400, mapOf("error" to (e.message ?: "malformed")))
+        }
+        val old = finished.getIfPresent(spec.id)
+        if (old != null) return answer(reply, 200, JobCodec.status(old))
+        if (hub.world.jobs.containsKey(spec.id)) return status(spec.id, reply)
+        if (hub.world.flavors.isEmpty()) return later(reply, "machine types are not known yet")
+        val refusal = Validation.refuse(spec, hub.settings.teams, hub.world.flavors)
+        if (refusal != null) return refused(spec, refusal, reply)
+        if (stateSeemsAway()) return later(reply, "the state service does not answer")
+        val job = Job(spec, hub.nowMs, null, emptyList(), 0, 0, chunkTasks, mapOf(0 to Chunk.empty()), 0uL)
+        val key = Keys.JOB + spec.id
+        if (hub.isBusy(key)) return later(reply, "a submission of this job is under way")
+        val txn = Txn(
+            mapOf(key to 0uL, Keys.OVER + spec.id to 0uL),
+            listOf(Change.Put(key, JobCodec.encodeHead(job))),
+        )
+        val sent = hub.commit(Cause.SUBMIT, txn) { outcome ->
+            when (outcome) {
+                is Outcome.Committed -> {
+                    log.info("job={} class={} owner={} tasks={} accepted", spec.id, spec.jobClass, spec.owner, spec.shards)
+                    answer(reply, 201, mapOf("id" to spec.id, "phase" to "pending"))
+                }
+                // Known already: its state is answered as to any poll.
+                is Outcome.Conflict -> status(spec.id, reply)
+                else -> later(reply, "the state service does not answer")
+            }
+        }
+        if (!sent) later(reply, "too many submissions")
+    }
+
+    /** A repeat of an accepted job must never get 422, so what would refuse it is checked against the store. */
+    private fun refused(spec: JobSpec, refusal: String, reply: Reply) = confirmed(spec.id, reply) { job ->
+        if (job != null) {
+            answer(reply, 200, JobCodec.status(job))
+        } else {
+            over(spec.id, reply, { answer(reply, 200, JobCodec.status(it)) }) {
+                log.info("job={} refused: {}", spec.id, refusal)
+                answer(reply, 422, mapOf("error" to refusal))
+            }
+        }
+    }
+
+    fun status(id: String, reply: Reply) {
+        if (!JobCodec.isId(id)) return answer(reply, 404, mapOf("error" to "no such job"))
+        val old = finished.getIfPresent(id)
+        if (old != null) return answer(reply, 200, JobCodec.status(old))
+        confirmed(id, reply) { job ->
+            if (job != null) {
+                answer(reply, 200, JobCodec.status(job))
+            } else {
+                over(id, reply, { answer(reply, 200, JobCodec.status(it)) }) {
+                    answer(reply, 404, mapOf("error" to "no such job"))
+                }
+            }
+        }
+    }
+
+    fun cancel(id: String, reply: Reply) {
+        if (!JobCodec.isId(id)) return answer(reply, 404, mapOf("error" to "no such job"))
+        val old = finished.getIfPresent(id)
+        if (old != null) return cancelAnswer(old, reply)
+        cancel(id, reply, CANCEL_TRIES)
+    }
+
+    private fun cancel(id: String, reply: Reply, tries: Int) {
+        val job = hub.world.jobs[id]
+        if (job != null && job.cancelled) return answer(reply, 200, mapOf("id" to id, "phase" to "aborted"))
+        if (job == null) {
+            return confirmed(id, reply) { now ->
+                if (now != null) {
+                    cancel(id, reply, tries - 1)
+                } else {
+                    over(id, reply, { cancelAnswer(it, reply) }) { answer(reply, 404, mapOf("error" to "no such job")) }
+                }
+            }
+        }
+        if (tries <= 0) return later(reply, "the job changes too often")
+        val key = Keys.JOB + id
+        if (hub.isBusy(key)) return confirmed(id, reply) { cancel(id, reply, tries - 1) }
+        val cancelled = job.copy(cancelledMs = hub.nowMs)
+        val txn = if (job.placedCount == 0) {
+            Settlement.over(hub, cancelled, aborted = true, fenced = false)
+        } else {
+            Txn(mapOf(key to job.stamp), listOf(Change.Put(key, JobCodec.encodeHead(cancelled))))
+        }
+        val sent = hub.commit(Cause.CANCEL, txn) { outcome ->
+            when (outcome) {
+                is Outcome.Committed -> {
+                    log.info("job={} cancelled by its user, {} tasks placed", id, job.placedCount)
+                    answer(reply, 200, mapOf("id" to id, "phase" to "aborted"))
+                }
+                is Outcome.Conflict -> confirmed(id, reply) { cancel(id, reply, tries - 1) }
+                else -> later(reply, "the state service does not answer")
+            }
+        }
+        if (!sent) later(reply, "too many requests")
+    }
+
+    private fun cancelAnswer(f: Finished, reply: Reply) =
+        answer(reply, 200, mapOf("id" to f.id, "phase" to if (f.aborted) "aborted" else "done"))
+
+    /** Reads a finished job from the store. */
+    private fun over(id: String, reply: Reply, found: (Finished) -> Unit, absent: () -> Unit) {
+        if (!hub.budget.take(Cause.FINISH, 0, hub.nowNs)) return later(reply, "too many requests")
+        hub.store.get(Keys.OVER + id) { read ->
+            hub.post {
+                when (read) {
+                    is Read.Found -> {
+                        hub.stateOk()
+                        val f = JobCodec.decodeFinished(id, read.value)
+                        finished.put(id, f)
+                        found(f)
+                    }
+                    is Read.Absent -> {
+                        hub.stateOk()
+                        absent()
+                    }
+                    is Read.Failed -> later(reply, "the state service does not answer")
+                }
+            }
+        }
+    }
+
+    /** Runs [then] once the view is surely as new as this moment; answers 503 if that can't be had in time. */
+    private fun confirmed(id: String, reply: Reply, then: (Job?) -> Unit) {
+        if (stateSeemsAway()) return later(reply, "the state service does not answer")
+        if (waiters.size >= MOST_WAITERS) return later(reply, "too many requests")
+        waiters += Waiter(id, reply, hub.nowNs, then)
+        confirmSoon()
+    }
+
+    /** One read of the current ledger serves all who asked before it was sent. */
+    private fun confirmSoon() {
+        val now = hub.nowNs
+        if (confirming || now < nextConfirmNs || waiters.none { it.need == null }) return
+        if (!hub.budget.take(Cause.READ, 0, now)) return
+        confirming = true
+        nextConfirmNs = now + confirmGapNs
+        val asked = waiters.filter { it.need == null }
+        hub.store.get(Keys.NOTHING) { read ->
+            hub.post {
+                confirming = false
+                if (read is Read.Absent) {
+                    hub.stateOk()
+                    for (w in asked) w.need = read.ledger
+                    viewMoved()
+                } else {
+                    waiters.removeAll(asked.toSet())
+                    for (w in asked) later(w.reply, "the state service does not answer")
+                }
+                confirmSoon()
+            }
+        }
+    }
+
+    /** Answers those whose ledger the view has reached. */
+    fun viewMoved() {
+        if (waiters.isEmpty()) return
+        val ready = waiters.filter { w -> w.need?.let { it <= hub.world.ledger } ?: false }
+        if (ready.isEmpty()) return
+        waiters.removeAll(ready.toSet())
+        for (w in ready) w.then(hub.world.jobs[w.id])
+    }
+
+    fun tick() {
+        if (waiters.isEmpty()) return
+        val late = waiters.filter { hub.nowNs - it.sinceNs > CONFIRM_MS * NS_PER_MS }
+        if (late.isNotEmpty()) {
+            waiters.removeAll(late.toSet())
+            for (w in late) later(w.reply, "the view lags")
+        }
+        confirmSoon()
+    }
+
+    /** Kept fresh by renewals: several of them in a row without an answer mean an outage or being refused. */
+    private fun stateSeemsAway(): Boolean =
+        hub.nowNs - hub.stateOkNs > hub.settings.workers.leaseS * AWAY_SHARE * NS_PER_S
+
+    private fun later(reply: Reply, why: String) = reply.send(503, encode(mapOf("error" to why)), RETRY_AFTER_S)
+
+    private fun answer(reply: Reply, status: Int, map: Map<String, Any?>) = reply.send(status, encode(map), null)
+
+    private fun encode(map: Map<String, Any?>) = Body(Wire.encode(map), Body.CBOR)
+
+    /** Reads for polls take at most this share of the node's part of the state service's rate. */
+    private val confirmGapNs = (NS_PER_S / (hub.settings.stateLimits.rps * CONFIRM_SHARE / hub.settings.size)).toLong()
+
+    private companion object {
+        val log = LoggerFactory.getLogger("flaxfield.jobs")
+        const val KB = 1024
+
+        /** Half a value for placed tasks; the rest is for the job itself, done ranges and growth. */
+        const val CHUNK_SHARE = 0.5
+
+        /** A placed task's record as the store counts it: index, attempt, host, tenure, flag. */
+        const val RECORD_BYTES = 40
+        const val CANCEL_TRIES = 6
+        const val MOST_WAITERS = 512
+
+        /** Users wait 2 s for a poll's answer. */
+        const val CONFIRM_MS = 1_500
+        const val CONFIRM_SHARE = 0.25
+        const val AWAY_SHARE = 0.25
+        const val RETRY_AFTER_S = 1
+        const val NS_PER_MS = 1_000_000L
+        const val NS_PER_S = 1e9
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/flaxfield/jobs/Settlement.kt
@@ -0,0 +1,115 @@
+package flaxfield.jobs
+
+import flaxfield.node.Hub
+import flaxfield.store.Cause
+import flaxfield.store.Change
+import flaxfield.store.Keys
+import flaxfield.store.Outcome
+import flaxfield.store.Txn
+import org.slf4j.LoggerFactory
+
+/** Commits proofs about tasks to their jobs' records, and closes jobs that are over. */
+class Settlement(private val hub: Hub) {
+    private val pending = LinkedHashMap<String, LinkedHashMap<Pair<Int, Long>, TaskEvent>>()
+
+    /** Takes a proof; it is kept until the view shows that the record has moved on. */
+    fun add(e: TaskEvent) {
+        pending.getOrPut(e.job) { LinkedHashMap() }[e.index to e.attempt] = e
+        hub.dirty = true
+    }
+
+    /** Sends what can be sent now. */
+    fun run() {
+        val term = hub.term() ?: return
+        if (!hub.mayDecide()) return
+        val jobs = pending.iterator()
+        while (jobs.hasNext()) {
+            val (id, events) = jobs.next()
+            val job = hub.world.jobs[id]
+            events.values.removeIf { job?.placed(it.index)?.attempt != it.attempt }
+            if (job == null || events.isEmpty()) {
+                jobs.remove()
+                continue
+            }
+            settle(job, events.values.toList(), term)
+        }
+        if (hub.leads()) sweep()
+    }
+
+    private fun settle(job: Job, events: List<TaskEvent>, term: ULong) {
+        if (job.chunks.keys.any { hub.isBusy(Keys.chunk(job.id, it)) }) return
+        val next = Settle.apply(job, events, hub.nowMs, (hub.settings.workers.reportS * BACKOFF_REPORTS * MS).toLong())
+        if (next === job) return
+        val over = next.complete || (next.cancelled && next.placedCount == 0)
+        val txn = if (over) over(hub, next, aborted = !next.complete || next.cancelled, fenced = true) else write(job, next, term)
+        if (txn.changes.size > hub.settings.stateLimits.txnOps) {
+            log.error("job={} needs {} changes at once, which the state service does not take", job.id, txn.changes.size)
+        }
+        hub.commit(Cause.FINISH, txn) { outcome ->
+            if (outcome is Outcome.Committed) {
+                for (e in events) log.info("job={} task={} attempt={} term={} {}", e.job, e.index, e.attempt, term, describe(e))
+                if (over) log.info("job={} over done={} cancelled={}", next.id, next.doneCount, next.cancelled)
+            }
+        }
+    }
+
+    /** Jobs that are over but still in the live keys: a cancel met the last exit on its way, for example. */
+    private fun sweep() {
+        for (job in hub.world.jobs.values) {
+            if (hub.isBusy(Keys.JOB + job.id)) continue
+            val over = job.complete || (job.cancelled && job.placedCount == 0)
+            if (over && !hub.commit(Cause.FINISH, over(hub, job, aborted = job.cancelled, fenced = true))) return
+        }
+        val strays = hub.world.strayChunks.keys.filter { !hub.isBusy(Keys.PART + it) }
+        if (strays.isNotEmpty()) {
+            val some = strays.take(hub.settings.stateLimits.txnOps / 2)
+            hub.commit(Cause.ROOM, Txn(fence(hub), some.map { Change.Drop(Keys.PART + it) }))
+        }
+    }
+
+    private fun describe(e: TaskEvent): String = when (e) {
+        is TaskEvent.Done -> "done"
+        is TaskEvent.Left -> "left host=${e.host} why=${e.why}"
+    }
+
+    companion object {
+        private val log = LoggerFactory.getLogger("flaxfield.jobs")
+
+        /** A job that fails everywhere is tried again after this many report intervals, then twice as many. */
+        private const val BACKOFF_REPORTS = 2
+        private const val MS = 1000
+
+        /** The condition that every decision's transaction carries: the assignment it was made under. */
+        fun fence(hub: Hub): Map<String, ULong> = mapOf(Keys.ASSIGNMENT to hub.world.stamp(Keys.ASSIGNMENT))
+
+        /** The transaction that replaces [old]'s record by [next]. The head is always part of it. */
+        fun write(old: Job, next: Job, term: ULong): Txn {
+            val changed = next.chunks.filter { (n, c) -> n == 0 || old.chunks[n] !== c }
+            val conditions = HashMap<String, ULong>()
+            conditions[Keys.ASSIGNMENT] = term
+            for (n in changed.keys) conditions[Keys.chunk(old.id, n)] = if (n == 0) old.stamp else old.chunks[n]?.stamp ?: 0uL
+            val puts = changed.map { (n, c) ->
+                Change.Put(Keys.chunk(old.id, n), if (n == 0) JobCodec.encodeHead(next) else JobCodec.encodeChunk(c))
+            }
+            return Txn(conditions, puts)
+        }
+
+        /** The transaction that moves a job to the finished ones. Chunks beyond a transaction's size follow later. */
+        fun over(hub: Hub, job: Job, aborted: Boolean, fenced: Boolean): Txn {
+            val head = Keys.JOB + job.id
+            val conditions = HashMap<String, ULong>()
+            conditions[head] = job.stamp
+            if (fenced) conditions += fence(hub)
+            val parts = job.chunks.keys.filter { it != 0 && hub.world.stamp(Keys.chunk(job.id, it)) != 0uL }
+            val changes = ArrayList<Change>()
+            changes += Change.Put(Keys.OVER + job.id, JobCodec.encodeFinished(Finished(job.id, aborted, job.doneCount)))
+            changes += Change.Drop(head)
+            for (n in parts.take(hub.settings.stateLimits.txnOps - changes.size)) {
+                val key = Keys.chunk(job.id, n)
+                conditions[key] = hub.world.stamp(key)
+                changes += Change.Drop(key)
+            }
+            return Txn(conditions, changes)
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/flaxfield/members/Members.kt
@@ -0,0 +1,81 @@
+package flaxfield.members
+
+import flaxfield.codec.Obj
+
+/** One run of one process: its name and the random number drawn at its start. */
+data class Member(val name: String, val incarnation: String, val zone: String) {
+    fun same(o: Member?): Boolean = o != null && o.name == name && o.incarnation == incarnation
+}
+
+/** Who leads and which processes share the machines. Its key's stamp is the term and the workers' epoch. */
+data class Assignment(val leader: Member, val members: List<Member>, val term: ULong) {
+    fun has(m: Member): Boolean = members.any { it.same(m) }
+
+    /**
+     * The member whose part [host] belongs to: the highest draw wins (rendezvous hashing). Members in the
+     * machine's own zone come first, so that a zone that is cut off keeps its parts.
+     */
+    fun owner(host: String, site: String): String? {
+        val near = members.filter { it.zone == site }
+        return (near.ifEmpty { members }).maxByOrNull { mix(host, it.name) }?.name
+    }
+
+    private fun mix(host: String, name: String): ULong {
+        var h = FNV_START
+        for (c in host) h = (h xor c.code.toULong()) * FNV_PRIME
+        h = (h xor '|'.code.toULong()) * FNV_PRIME
+        for (c in name) h = (h xor c.code.toULong()) * FNV_PRIME
+        // FNV alone leaves the last letters in the low bits: names that end alike would share hosts.
+        h = (h xor (h shr 33)) * FINISH_1
+        h = (h xor (h shr 33)) * FINISH_2
+        return h xor (h shr 33)
+    }
+
+    private companion object {
+        const val FNV_START = 0xcbf29ce484222325uL
+        const val FNV_PRIME = 0x100000001b3uL
+        const val FINISH_1 = 0xff51afd7ed558ccduL
+        const val FINISH_2 = 0xc4ceb9fe1a85ec53uL
+    }
+}
+
+object MemberCodec {
+    fun encode(m: Member): Map<String, Any?> = mapOf("name" to m.name, "run" to m.incarnation, "zone" to m.zone)
+
+    fun member(o: Obj) = Member(o.needText("name"), o.needText("run"), o.text("zone").orEmpty())
+
+    fun encode(leader: Member, members: List<Member>): Map<String, Any?> =
+        mapOf("leader" to encode(leader), "members" to members.map(::encode))
+
+    fun assignment(o: Obj, stamp: ULong) = Assignment(
+        member(o.needObj("leader")),
+        o.objs("members").map(::member),
+        stamp,
+    )
+}
+
+/** What the membership slice wants written next. */
+sealed interface MemberStep {
+    /** Write our own member key, replacing an earlier run's. */
+    data object Join : MemberStep
+
+    /** Take the leader's key: it is absent, or held by an earlier run of this very process. */
+    data object Lead : MemberStep
+
+    data class Assign(val members: List<Member>) : MemberStep
+}
+
+/** Pure decisions on membership and leadership. */
+object MemberRules {
+    /** The next step of [me], or null if all is as it should be. */
+    fun next(me: Member, members: Collection<Member>, leader: Member?, assignment: Assignment?): MemberStep? {
+        if (members.none { it.same(me) }) return MemberStep.Join
+        // An earlier run of this name is dead for sure: one process at a time runs under a name.
+        if (leader == null || (leader.name == me.name && !leader.same(me))) return MemberStep.Lead
+        if (!leader.same(me)) return null
+        val wanted = members.sortedBy { it.name }
+        val current = assignment?.members?.sortedBy { it.name }
+        val mine = assignment != null && assignment.leader.same(me)
+        return if (mine && current == wanted) null else MemberStep.Assign(wanted)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/flaxfield/node/Follower.kt
@@ -0,0 +1,113 @@
+package flaxfield.node
+
+import flaxfield.jobs.JobDesk
+import flaxfield.store.Cause
+import flaxfield.store.Keys
+import flaxfield.store.Watched
+import flaxfield.workers.WorkerDesk
+import org.slf4j.LoggerFactory
+
+/** Keeps the view: a paged read first, then one watch after another over the same prefix. */
+class Follower(private val hub: Hub, private val jobs: JobDesk, private val workers: WorkerDesk) {
+    /** The view has been complete at least once. */
+    var synced = false
+        private set
+    private var open = false
+    private var listing = false
+    private var nextNs = 0L
+    private var listFrom: ULong? = null
+    private var complete = false
+
+    fun start() {
+        listing = true
+        complete = false
+        listFrom = null
+        hub.world.clear()
+        page(null)
+    }
+
+    private fun page(from: String?) {
+        if (!hub.budget.take(Cause.LEASE, 0, hub.nowNs)) return retryList()
+        hub.store.list(Keys.LIVE, from, PAGE) { page ->
+            hub.post {
+                if (page == null) {
+                    retryList()
+                } else {
+                    hub.stateOk()
+                    // The watch starts from the first page's ledger: later pages may be newer, stamps tell.
+                    if (listFrom == null) listFrom = page.ledger
+                    for (i in page.items) hub.world.apply(i)
+                    if (page.more && page.items.isNotEmpty()) page(page.items.last().key) else listed(page.ledger)
+                }
+            }
+        }
+    }
+
+    private fun retryList() {
+        listing = false
+        nextNs = hub.nowNs + RETRY_MS * NS_PER_MS
+    }
+
+    private fun listed(last: ULong) {
+        listing = false
+        complete = true
+        val first = listFrom ?: last
+        if (first == last) moved(last) else hub.world.advance(first)
+        log.info("view read at ledger={} jobs={} hosts={}", first, hub.world.jobs.size, hub.world.machines.size)
+        tick()
+    }
+
+    fun tick() {
+        if (open || listing || hub.nowNs < nextNs) return
+        if (!complete) return start()
+        follow()
+    }
+
+    private fun follow() {
+        if (!hub.budget.take(Cause.LEASE, 0, hub.nowNs)) return
+        open = true
+        nextNs = hub.nowNs + gapNs
+        hub.store.follow(Keys.LIVE, hub.world.ledger, BLOCK_MS) { w -> hub.post { watched(w) } }
+    }
+
+    private fun watched(w: Watched) {
+        open = false
+        when (w) {
+            is Watched.News -> {
+                hub.stateOk()
+                for (i in w.items) {
+                    hub.world.apply(i)
+                    if (i.value == null && i.key.startsWith(Keys.HOST)) workers.forget(i.key.removePrefix(Keys.HOST))
+                }
+                moved(w.ledger)
+                tick()
+            }
+            is Watched.TooOld -> {
+                log.info("view too old at ledger={}, read again", hub.world.ledger)
+                start()
+            }
+            is Watched.Failed -> nextNs = hub.nowNs + RETRY_MS * NS_PER_MS
+        }
+    }
+
+    private fun moved(ledger: ULong) {
+        hub.world.advance(ledger)
+        synced = true
+        hub.dirty = true
+        hub.caughtUp()
+        jobs.viewMoved()
+    }
+
+    /** Opened watches count as requests: they take at most this share of the node's part of the rate. */
+    private val gapNs = (NS_PER_S / (hub.settings.stateLimits.rps * FOLLOW_SHARE / hub.settings.size)).toLong()
+
+    private companion object {
+        val log = LoggerFactory.getLogger("flaxfield.store")
+        const val PAGE = 200
+        const val BLOCK_MS = 10_000L
+        const val RETRY_MS = 250L
+        const val FOLLOW_SHARE = 0.4
+        const val NS_PER_MS = 1_000_000L
+        const val NS_PER_S = 1e9
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/flaxfield/node/Hub.kt
@@ -0,0 +1,111 @@
+package flaxfield.node
+
+import flaxfield.fleet.Machine
+import flaxfield.members.Member
+import flaxfield.settings.OperatorSettings
+import flaxfield.settings.Settings
+import flaxfield.store.Budget
+import flaxfield.store.Cause
+import flaxfield.store.Outcome
+import flaxfield.store.StoreClient
+import flaxfield.store.Txn
+import flaxfield.store.World
+
+/** Steady and daily time; tests set their own. */
+interface Clock {
+    fun steadyNs(): Long
+
+    fun dayMs(): Long
+
+    object System : Clock {
+        override fun steadyNs(): Long = java.lang.System.nanoTime()
+
+        override fun dayMs(): Long = java.lang.System.currentTimeMillis()
+    }
+}
+
+/** What the slices of one process share; all of it belongs to the owner thread. */
+class Hub(
+    val settings: Settings,
+    val operator: OperatorSettings,
+    val me: Member,
+    val clock: Clock,
+    val store: StoreClient,
+    val world: World,
+    /** Hands work back to the owner thread; safe from any thread. */
+    val post: (() -> Unit) -> Unit,
+) {
+    val budget = Budget(settings.stateLimits, settings.size)
+
+    /** Keys that a transaction of ours is changing: null while it is open, else the ledger to wait for. */
+    private val busy = HashMap<String, ULong?>()
+
+    /** When the state service last answered us with anything but an error. */
+    var stateOkNs: Long = 0
+        private set
+
+    /** Our lease is surely valid until then by the steady clock. */
+    var leaseUntilNs: Long = 0
+
+    /** Something changed that decisions depend on. */
+    var dirty = true
+
+    val nowNs: Long get() = clock.steadyNs()
+    val nowMs: Long get() = clock.dayMs()
+
+    fun stateOk() {
+        stateOkNs = nowNs
+    }
+
+    fun leaseValid(): Boolean = nowNs < leaseUntilNs
+
+    /** The current term if this process is a member under it, else null. */
+    fun term(): ULong? = world.assignment?.takeIf { it.has(me) }?.term
+
+    /** Whether this process may decide now: a member whose lease is surely valid. */
+    fun mayDecide(): Boolean = term() != null && leaseValid()
+
+    fun leads(): Boolean = mayDecide() && world.assignment?.leader?.same(me) == true && world.leader?.same(me) == true
+
+    /** Whether [host], which lies in [site], belongs to this node's part. */
+    fun owns(host: String, site: String): Boolean = world.assignment?.owner(host, site) == me.name
+
+    fun owns(m: Machine): Boolean = owns(m.name, m.site)
+
+    fun isBusy(key: String): Boolean = busy.containsKey(key)
+
+    /** Drops the marks that the view has caught up with. */
+    fun caughtUp() {
+        if (busy.isNotEmpty()) busy.values.removeIf { it != null && it <= world.ledger }
+    }
+
+    /**
+     * Sends a transaction if the budget has room for its cause; false if not. The changed keys are busy
+     * until the view shows the outcome. [done] runs on the owner thread.
+     */
+    fun commit(cause: Cause, txn: Txn, done: (Outcome) -> Unit = {}): Boolean {
+        if (!budget.take(cause, txn.changes.size, nowNs)) return false
+        for (c in txn.changes) busy[c.key] = null
+        store.txn(txn) { outcome ->
+            post {
+                settle(txn, outcome)
+                done(outcome)
+            }
+        }
+        return true
+    }
+
+    private fun settle(txn: Txn, outcome: Outcome) {
+        val until = when (outcome) {
+            is Outcome.Committed -> outcome.ledger
+            is Outcome.Conflict -> outcome.ledger
+            // Whatever comes of it, its conditions hold it to the stamps we knew: deciding again is safe.
+            else -> null
+        }
+        if (until != null) stateOk()
+        for (c in txn.changes) {
+            if (until == null || until <= world.ledger) busy.remove(c.key) else busy[c.key] = until
+        }
+        dirty = true
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/flaxfield/peers/PeerDesk.kt
@@ -0,0 +1,66 @@
+package flaxfield.peers
+
+import flaxfield.node.Hub
+import io.netty.channel.EventLoopGroup
+
+/** Hints between our own processes: pulses and relayed reports. */
+class PeerDesk(private val hub: Hub, loop: EventLoopGroup) {
+    private class Pending(val sinceNs: Long, val done: (Int, ByteArray?) -> Unit)
+
+    private val clients = hub.settings.peers.associate { p ->
+        p.name to PeerClient(loop, p.address) { m -> hub.post { answered(m) } }
+    }
+    private val pending = LinkedHashMap<Long, Pending>()
+    private var nextId = 1L
+    private var nextPulseNs = 0L
+
+    /** When a peer last said that the state service answers it. */
+    private val stateOkElsewhereNs = HashMap<String, Long>()
+
+    /** Hands a report to the machine's owner; [done] gets its answer, or null if there is none in time. */
+    fun relay(owner: String?, report: ByteArray, done: (Int, ByteArray?) -> Unit) {
+        val client = clients[owner]
+        if (client == null || pending.size >= MOST_PENDING) return done(0, null)
+        val id = nextId++
+        pending[id] = Pending(hub.nowNs, done)
+        client.send(PeerMessage.Relay(hub.me.name, id, report))
+    }
+
+    private fun answered(m: PeerMessage) {
+        if (m is PeerMessage.Relayed) pending.remove(m.id)?.done?.invoke(m.status, m.body)
+    }
+
+    fun pulse(m: PeerMessage.Pulse) {
+        if (m.stateAgeMs <= hub.settings.workers.reportS * MS) stateOkElsewhereNs[m.from] = hub.nowNs
+    }
+
+    /** Whether some peer has the state service's ear now. */
+    fun stateOkElsewhere(): Boolean =
+        stateOkElsewhereNs.values.any { hub.nowNs - it < hub.settings.workers.reportS * FRESH_REPORTS * NS }
+
+    fun tick() {
+        val now = hub.nowNs
+        while (true) {
+            val (id, p) = pending.entries.firstOrNull() ?: break
+            if (now - p.sinceNs < RELAY_MS * NS_PER_MS) break
+            pending.remove(id)
+            p.done(0, null)
+        }
+        if (now < nextPulseNs) return
+        nextPulseNs = now + (hub.settings.workers.reportS * PULSE_REPORTS * NS).toLong()
+        val age = (now - hub.stateOkNs) / NS_PER_MS
+        for (c in clients.values) c.send(PeerMessage.Pulse(hub.me.name, age))
+    }
+
+    private companion object {
+        const val MOST_PENDING = 128
+
+        /** Workers drop an answer after 4 s; the rest is for the way back and a slow turn. */
+        const val RELAY_MS = 1_500L
+        const val PULSE_REPORTS = 0.5
+        const val FRESH_REPORTS = 1.5
+        const val MS = 1000.0
+        const val NS = 1e9
+        const val NS_PER_MS = 1_000_000L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/flaxfield/quota/Quota.kt
@@ -0,0 +1,85 @@
+package flaxfield.quota
+
+import flaxfield.jobs.Job
+import flaxfield.jobs.Room
+import flaxfield.settings.Team
+
+/** What each team's task records take now, old attempts included: a record lasts until proof. */
+class TeamUse(jobs: Collection<Job>, private val teams: Map<String, Team>) {
+    private val used = HashMap<String, Room>()
+
+    init {
+        for (j in jobs) if (j.placedCount > 0) add(j.spec.owner, j.spec.need * j.placedCount)
+    }
+
+    fun of(team: String): Room = used[team] ?: Room.NONE
+
+    fun add(team: String, room: Room) {
+        used[team] = of(team) + room
+    }
+
+    /** How many more tasks of size [need] the team's limit allows now. */
+    fun allows(team: String, need: Room): Int {
+        val t = teams[team] ?: return 0
+        val u = of(team)
+        return minOf(parts(t.cpusMax, u.cpus, need.cpus), parts(t.gpusMax, u.gpus, need.gpus))
+    }
+
+    /** The team's use relative to its guarantee, or to one unit where it has none. */
+    fun share(team: String): Double {
+        val t = teams[team] ?: return 0.0
+        val u = of(team)
+        return maxOf(u.cpus / maxOf(1.0, t.cpus), u.gpus / maxOf(1.0, t.gpus))
+    }
+
+    /** Whether the team uses more than its guarantee. A team without one borrows all that it has. */
+    fun borrows(team: String): Boolean {
+        val t = teams[team] ?: return true
+        val u = of(team)
+        return (u.cpus > t.cpus + EPSILON && t.cpus > 0) || (u.gpus > t.gpus + EPSILON && t.gpus > 0) ||
+            (t.cpus <= 0.0 && t.gpus <= 0.0)
+    }
+
+    private fun parts(limit: Double, used: Double, need: Double): Int =
+        if (limit <= 0.0 || need <= 0.0) Int.MAX_VALUE else ((limit - used + EPSILON) / need).toInt().coerceAtLeast(0)
+
+    private companion object {
+        const val EPSILON = 1e-6
+    }
+}
+
+/** Pure: in which order jobs that wait are looked at. */
+object JobOrder {
+    /** The ids of the jobs that fit into their team's guarantee together with its earlier unfinished ones. */
+    fun guaranteed(jobs: Collection<Job>, teams: Map<String, Team>): Set<String> {
+        val result = HashSet<String>()
+        for ((owner, list) in jobs.filter { !it.cancelled }.groupBy { it.spec.owner }) {
+            val t = teams[owner] ?: continue
+            if (t.cpus <= 0.0 && t.gpus <= 0.0) continue
+            var sum = Room.NONE
+            for (j in list.sortedWith(compareBy({ it.submittedMs }, { it.id }))) {
+                sum += j.spec.need * (j.spec.shards - j.doneCount)
+                if ((t.cpus <= 0.0 || sum.cpus <= t.cpus + EPSILON) && (t.gpus <= 0.0 || sum.gpus <= t.gpus + EPSILON)) {
+                    result += j.id
+                }
+            }
+        }
+        return result
+    }
+
+    /** Guarantee first, then priority, then the team that uses the least share, then age. */
+    fun sort(jobs: Collection<Job>, guaranteed: Set<String>, use: TeamUse): List<Job> = jobs.sortedWith(
+        compareBy<Job> { if (it.id in guaranteed) 0 else 1 }
+            .thenByDescending { it.spec.urgency.ordinal }
+            .thenBy { use.share(it.spec.owner) }
+            .thenBy { it.submittedMs }
+            .thenBy { it.id },
+    )
+
+    /** Whether [job] may take the place of a task of [other] ("Preemption" in PROTOCOL-flaxfield.md). */
+    fun mayPreempt(job: Job, jobGuaranteed: Boolean, other: Job, use: TeamUse): Boolean =
+        job.spec.urgency > other.spec.urgency ||
+            (jobGuaranteed && other.spec.owner != job.spec.owner && use.borrows(other.spec.owner))
+
+    private const val EPSILON = 1e-6
+}
--- /dev/null
+++ b/src/main/kotlin/flaxfield/settings/Settings.kt
@@ -0,0 +1,141 @@
+package flaxfield.settings
+
+import flaxfield.codec.MalformedException
+import flaxfield.codec.Obj
+import flaxfield.codec.Wire
+import java.io.File
+import java.io.IOException
+
+/** Host and port of one endpoint. */
+data class Address(val host: String, val port: Int) {
+    override fun toString(): String = "$host:$port"
+
+    companion object {
+        private const val MAX_PORT = 65_535
+
+        /** Parses `host:port`; throws [MalformedException] if it is not one. */
+        fun parse(text: String): Address {
+            val at = text.lastIndexOf(':')
+            val port = if (at > 0) text.substring(at + 1).toIntOrNull() else null
+            if (port == null || port !in 1..MAX_PORT) throw MalformedException("'$text' is not host:port")
+            return Address(text.substring(0, at), port)
+        }
+    }
+}
+
+data class Peer(val name: String, val address: Address)
+
+/** A team's guarantee and limit; 0 means none. */
+data class Team(val name: String, val cpus: Double, val cpusMax: Double, val gpus: Double, val gpusMax: Double) {
+    val limited: Boolean get() = cpusMax > 0.0 || gpusMax > 0.0
+}
+
+/** One aim at start or finish, as the operators state it. */
+data class Objective(val kind: String, val jobClass: String, val withinS: Double, val share: Double)
+
+/** Figures of the workers' protocol. */
+data class WorkerTimes(
+    val reportS: Double,
+    val leaseS: Double,
+    val gangWaitS: Double,
+    val gangPeerS: Double,
+    val cancelS: Double,
+)
+
+/** Limits of the state service. */
+data class StateLimits(val rps: Double, val writeRps: Double, val valueKb: Double, val txnOps: Int)
+
+/** The platform's settings file, parsed and checked. */
+data class Settings(
+    val nodeName: String,
+    val zone: String,
+    val serveOn: Address,
+    val internalAddr: Address,
+    val peers: List<Peer>,
+    val cloud: Address,
+    val state: Address,
+    val size: Int,
+    val teams: Map<String, Team>,
+    val objectives: List<Objective>,
+    val workers: WorkerTimes,
+    val stateLimits: StateLimits,
+    val cloudRps: Double,
+    val listLagS: Double,
+    val maxSockets: Int,
+) {
+    companion object {
+        /** Reads the file at [path]; every fault becomes a one-line [MalformedException]. */
+        fun load(path: String): Settings {
+            val bytes = try {
+                File(path).readBytes()
+            } catch (e: IOException) {
+                throw MalformedException("settings file $path: ${e.message}")
+            }
+            try {
+                return of(Wire.decodeJson(bytes))
+            } catch (e: MalformedException) {
+                throw MalformedException("settings file $path: ${e.message}")
+            }
+        }
+
+        /** Parses an already decoded settings map; unknown fields are ignored. */
+        fun of(o: Obj): Settings {
+            val external = o.needObj("external")
+            val d = o.needObj("deployment")
+            val workers = d.needObj("workers")
+            val state = d.needObj("state")
+            val cloud = d.needObj("cloud")
+            return Settings(
+                nodeName = o.needText("node_name"),
+                zone = o.text("zone").orEmpty(),
+                serveOn = Address.parse(o.needText("serve_on")),
+                internalAddr = Address.parse(o.needText("internal_addr")),
+                peers = o.objs("others").map { Peer(it.needText("node_name"), Address.parse(it.needText("peer_addr"))) },
+                cloud = Address.parse(external.needText("cloud")),
+                state = Address.parse(external.needText("state")),
+                size = d.int("size") ?: (o.objs("others").size + 1),
+                teams = d.objs("teams").map(::team).associateBy { it.name },
+                objectives = d.objs("objectives").map(::objective),
+                workers = WorkerTimes(
+                    positive(workers, "report_s"),
+                    positive(workers, "lease_s"),
+                    positive(workers, "gang_wait_s"),
+                    positive(workers, "gang_peer_s"),
+                    positive(workers, "cancel_s"),
+                ),
+                stateLimits = StateLimits(
+                    positive(state, "rps"),
+                    positive(state, "write_rps"),
+                    positive(state, "value_kb"),
+                    positive(state, "txn_ops").toInt(),
+                ),
+                cloudRps = positive(cloud, "rps"),
+                listLagS = positive(cloud, "list_lag_s"),
+                maxSockets = o.needObj("deployment").obj("quota")?.int("fd_limit") ?: DEFAULT_SOCKETS,
+            )
+        }
+
+        private fun team(o: Obj) = Team(
+            o.needText("name"),
+            o.number("cpus") ?: 0.0,
+            o.number("cpus_max") ?: 0.0,
+            o.number("gpus") ?: 0.0,
+            o.number("gpus_max") ?: 0.0,
+        )
+
+        private fun objective(o: Obj) = Objective(
+            o.text("kind").orEmpty(),
+            o.text("class").orEmpty(),
+            o.number("within_s") ?: 0.0,
+            o.number("share") ?: 0.0,
+        )
+
+        private fun positive(o: Obj, key: String): Double {
+            val v = o.needNumber(key)
+            if (!(v > 0.0)) throw MalformedException("$key must be above 0")
+            return v
+        }
+
+        private const val DEFAULT_SOCKETS = 1024
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/flaxfield/store/Keys.kt
@@ -0,0 +1,22 @@
+package flaxfield.store
+
+/** The state service's keys. All under [LIVE] are held in every node's view; finished jobs are not. */
+object Keys {
+    const val LIVE = "live/"
+    const val ASSIGNMENT = "live/assignment"
+    const val LEADER = "live/leader"
+    const val TYPES = "live/types"
+    const val MEMBER = "live/member/"
+    const val JOB = "live/job/"
+    const val PART = "live/part/"
+    const val HOST = "live/host/"
+    const val HIRE = "live/hire/"
+    const val ROOM = "live/room/"
+    const val TEAM = "live/team/"
+    const val OVER = "over/"
+
+    /** Never written: a read of it tells the current ledger at the price of one request. */
+    const val NOTHING = "none"
+
+    fun chunk(job: String, number: Int): String = if (number == 0) JOB + job else "$PART$job/$number"
+}
--- /dev/null
+++ b/src/main/kotlin/flaxfield/workers/HostBook.kt
@@ -0,0 +1,33 @@
+package flaxfield.workers
+
+import flaxfield.arrays.HostRoom
+import flaxfield.arrays.HostState
+
+/** What this process has seen of one machine's worker. */
+class HostBook(val host: String) {
+    var report: Report? = null
+    var reportNs: Long = 0
+
+    /** Images in the order of their last use; the cache keeps the latest. */
+    val images = LinkedHashMap<String, Double>()
+    var faulty: String? = null
+    var errors = 0
+    var pushedNs: Long = 0
+    var redirectedNs: Long = 0
+    var haltedNs: Long = 0
+
+    /** Notes that [bundle] is on the machine, and forgets what no longer fits its cache. */
+    fun hasImage(bundle: String, gb: Double, cacheGb: Double) {
+        images.remove(bundle)
+        images[bundle] = gb
+        while (images.size > 1 && images.values.sum() > cacheGb) images.remove(images.keys.first())
+    }
+
+    /** Takes over what an earlier owner's summary knew. */
+    fun inherit(room: HostRoom) {
+        if (images.isEmpty()) for (i in room.images) images[i] = 0.0
+    }
+
+    fun room(state: HostState): HostRoom =
+        HostRoom(state, report?.tenure ?: 0uL, report?.address.orEmpty(), images.keys.toList())
+}
--- /dev/null
+++ b/src/main/kotlin/flaxfield/workers/Orders.kt
@@ -0,0 +1,87 @@
+package flaxfield.workers
+
+import flaxfield.jobs.Job
+import flaxfield.jobs.TaskEvent
+import flaxfield.store.OnHost
+
+/** What a report leads to: orders for its worker, and proofs to be committed to the job records. */
+data class Decision(val orders: List<Order>, val events: List<TaskEvent>)
+
+/** Pure decisions on one worker's report: the records are what should be, the report is what is. */
+object Orders {
+    /**
+     * @param records all task records on the host
+     * @param term the current term; a report under another epoch proves no absence
+     * @param mayLaunch whether this node's own lease is surely valid and the machine is kept
+     */
+    fun decide(report: Report, records: List<OnHost>, term: ULong, mayLaunch: Boolean): Decision {
+        val orders = ArrayList<Order>()
+        val events = ArrayList<TaskEvent>()
+        val byTask = records.associateBy { it.job.id to it.placed.index }
+        val present = HashSet<Pair<String, Int>>()
+        for (t in report.tasks) {
+            val record = byTask[t.job to t.index]?.takeIf { it.placed.attempt.toULong() == t.attempt }
+            if (record == null) {
+                orders += unrecorded(t)
+            } else {
+                present += t.job to t.index
+                recorded(t, record, report.host, orders, events)
+            }
+        }
+        for (r in records) {
+            if ((r.job.id to r.placed.index) in present) continue
+            absent(r, report, term, mayLaunch, orders, events)
+        }
+        return Decision(orders, events)
+    }
+
+    /** Not in the records: either its end is committed, or it must not be here. */
+    private fun unrecorded(t: ReportedTask): Order =
+        if (t.state == TaskState.ENDED) Order.Clear(t.job, t.index, t.attempt) else Order.Halt(t.job, t.index, t.attempt, 0.0)
+
+    private fun recorded(t: ReportedTask, r: OnHost, host: String, orders: MutableList<Order>, events: MutableList<TaskEvent>) {
+        when {
+            t.state == TaskState.ENDED -> events += when (t.cause) {
+                EndCause.DONE -> TaskEvent.Done(t.job, t.index, r.placed.attempt)
+                else -> TaskEvent.Left(t.job, t.index, r.placed.attempt, host, t.cause.toString().lowercase(), t.cause == EndCause.ERROR)
+            }
+            else -> halt(t, r)?.let { orders += it }
+        }
+    }
+
+    /** The halt that a task on its machine should get, or null if it is to go on. */
+    fun halt(t: ReportedTask, r: OnHost): Order.Halt? = when {
+        r.job.cancelled -> Order.Halt(t.job, t.index, t.attempt, 0.0)
+        r.placed.stopping && t.state != TaskState.SAVING -> Order.Halt(t.job, t.index, t.attempt, windDown(r.job))
+        else -> null
+    }
+
+    private fun absent(
+        r: OnHost,
+        report: Report,
+        term: ULong,
+        mayLaunch: Boolean,
+        orders: MutableList<Order>,
+        events: MutableList<TaskEvent>,
+    ) {
+        val p = r.placed
+        when {
+            // A newer tenure: the worker has killed and forgotten all that it had.
+            report.tenure > p.tenure ->
+                events += TaskEvent.Left(r.job.id, p.index, p.attempt, report.host, "tenure ${report.tenure}", false)
+            report.tenure < p.tenure -> Unit
+            // Launches of earlier terms can't arrive any more, and ours have been answered: it is not here.
+            r.job.cancelled || p.stopping -> if (report.epoch == term) {
+                events += TaskEvent.Left(r.job.id, p.index, p.attempt, report.host, "absent", false)
+            }
+            mayLaunch -> orders += Order.Launch(r.job.id, p.index, p.attempt.toULong())
+        }
+    }
+
+    /** Enough for the task to save, if it can at all. */
+    private fun windDown(job: Job): Double =
+        if (job.spec.saveEveryS > 0.0) job.spec.saveS * SAVE_MARGIN else 0.0
+
+    /** Saving may take a little longer than its owner says. */
+    private const val SAVE_MARGIN = 1.5
+}
--- /dev/null
+++ b/src/main/kotlin/flaxfield/workers/Report.kt
@@ -0,0 +1,119 @@
+package flaxfield.workers
+
+import flaxfield.codec.MalformedException
+import flaxfield.codec.Obj
+import flaxfield.jobs.JobCodec
+
+enum class TaskState { PULLING, GATHERING, RUNNING, SAVING, ENDED }
+
+/** Why a task ended, as its worker says. */
+enum class EndCause { DONE, STOPPED, MATES_GONE, INCOMPLETE, ERROR, NO_ROOM, IN_USE, UNKNOWN }
+
+data class ReportedTask(
+    val job: String,
+    val index: Int,
+    val attempt: ULong,
+    val state: TaskState,
+    val cause: EndCause?,
+)
+
+/** What a worker says of itself at one moment; (`tenure`, `tally`) orders the moments. */
+data class Report(
+    val host: String,
+    val address: String,
+    val flavor: String,
+    val site: String,
+    val lendable: Boolean,
+    val tenure: ULong,
+    val tally: ULong,
+    val epoch: ULong,
+    val warningS: Double?,
+    val tasks: List<ReportedTask>,
+) {
+    fun newerThan(tenure: ULong, tally: ULong): Boolean =
+        this.tenure > tenure || (this.tenure == tenure && this.tally > tally)
+}
+
+/** A command to a worker. */
+sealed interface Order {
+    val job: String
+    val index: Int
+    val attempt: ULong
+
+    data class Launch(override val job: String, override val index: Int, override val attempt: ULong) : Order
+
+    data class Halt(
+        override val job: String,
+        override val index: Int,
+        override val attempt: ULong,
+        val windDownS: Double,
+    ) : Order
+
+    data class Clear(override val job: String, override val index: Int, override val attempt: ULong) : Order
+}
+
+/** Wire forms of reports and orders. */
+object ReportCodec {
+    private val states = mapOf(
+        "pulling" to TaskState.PULLING,
+        "gathering" to TaskState.GATHERING,
+        "running" to TaskState.RUNNING,
+        "saving" to TaskState.SAVING,
+        "ended" to TaskState.ENDED,
+    )
+    private val causes = mapOf(
+        "done" to EndCause.DONE,
+        "stopped" to EndCause.STOPPED,
+        "mates_gone" to EndCause.MATES_GONE,
+        "incomplete" to EndCause.INCOMPLETE,
+        "error" to EndCause.ERROR,
+        "no_room" to EndCause.NO_ROOM,
+        "in_use" to EndCause.IN_USE,
+        "unknown" to EndCause.UNKNOWN,
+    )
+
+    fun decode(o: Obj): Report = Report(
+        host = o.needText("host"),
+        address = o.needText("address"),
+        flavor = o.needText("flavor"),
+        site = o.needText("site"),
+        lendable = o.needFlag("lendable"),
+        tenure = o.needCount("tenure"),
+        tally = o.needCount("tally"),
+        epoch = o.count("epoch") ?: 0uL,
+        warningS = o.number("warning_s"),
+        tasks = o.objs("shards").map(::task),
+    )
+
+    private fun task(o: Obj): ReportedTask {
+        val (job, index) = JobCodec.task(o.needText("shard")) ?: throw MalformedException("shard is invalid")
+        val state = states[o.text("phase")] ?: throw MalformedException("phase is invalid")
+        val cause = if (state == TaskState.ENDED) {
+            // A cause we do not know is an end all the same: the task is taken as failed on its machine.
+            causes[o.text("cause")] ?: EndCause.ERROR
+        } else {
+            null
+        }
+        return ReportedTask(job, index, o.needCount("try"), state, cause)
+    }
+
+    fun encode(epoch: ULong, orders: List<Order>): Map<String, Any?> =
+        mapOf("epoch" to epoch, "orders" to orders.map(::order))
+
+    fun encodeDirect(epoch: ULong, tenure: ULong, orders: List<Order>): Map<String, Any?> =
+        encode(epoch, orders) + mapOf("tenure" to tenure)
+
+    private fun order(o: Order): Map<String, Any?> = buildMap {
+        put(
+            "verb",
+            when (o) {
+                is Order.Launch -> "launch"
+                is Order.Halt -> "halt"
+                is Order.Clear -> "clear"
+            },
+        )
+        put("shard", JobCodec.taskName(o.job, o.index))
+        put("try", o.attempt)
+        if (o is Order.Halt) put("wind_down_s", o.windDownS)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/flaxfield/workers/WorkerDesk.kt
@@ -0,0 +1,299 @@
+package flaxfield.workers
+
+import flaxfield.arrays.HostState
+import flaxfield.codec.MalformedException
+import flaxfield.codec.Wire
+import flaxfield.fleet.FleetCodec
+import flaxfield.fleet.Machine
+import flaxfield.fleet.MachinePhase
+import flaxfield.jobs.Settlement
+import flaxfield.jobs.TaskEvent
+import flaxfield.net.Body
+import flaxfield.net.Reply
+import flaxfield.node.Hub
+import flaxfield.peers.PeerDesk
+import flaxfield.store.Cause
+import flaxfield.store.Change
+import flaxfield.store.Keys
+import flaxfield.store.Txn
+import org.slf4j.LoggerFactory
+
+/** Workers' reports, their orders, and what can be told of machines that do not report. */
+class WorkerDesk(
+    private val hub: Hub,
+    private val settlement: Settlement,
+    private val peers: PeerDesk,
+    private val direct: DirectOrders,
+) {
+    private val books = HashMap<String, HostBook>()
+
+    /** Hosts whose keys have been dropped: names are never used again, so late news of them is ignored. */
+    private val gone = LinkedHashSet<String>()
+    private var termSeen: ULong? = null
+    private var ownerSinceNs = 0L
+    private var lastReportNs = 0L
+    private val startNs = hub.nowNs
+
+    fun report(body: ByteArray, reply: Reply) {
+        val report = try {
+            ReportCodec.decode(Wire.decode(body))
+        } catch (e: MalformedException) {
+            return reply.send(400, error(e.message ?: "malformed"), null)
+        }
+        val assignment = hub.world.assignment
+        val term = hub.term()
+        val book = books.getOrPut(report.host) { HostBook(report.host) }
+        when {
+            assignment == null || report.epoch > assignment.term || term == null -> withoutTerm(report, reply)
+            hub.owns(report.host, report.site) -> own(report, book, term, reply)
+            hub.nowNs - book.redirectedNs < hub.settings.workers.leaseS * RELAY_SHARE * NS && book.redirectedNs != 0L -> {
+                // It was sent to its owner and has come back: the owner can't be reached from there.
+                val owner = assignment.owner(report.host, report.site)
+                peers.relay(owner, body) { status, answer ->
+                    if (answer != null) reply.send(status, Body(answer, Body.CBOR), null) else keepAlive(term, reply)
+                }
+            }
+            else -> {
+                book.redirectedNs = hub.nowNs
+                steward(assignment.owner(report.host, report.site), reply)
+            }
+        }
+    }
+
+    /** A report handed on by a peer that could not send its worker to us: never redirected a second time. */
+    fun relayed(body: ByteArray, reply: Reply) {
+        val report = try {
+            ReportCodec.decode(Wire.decode(body))
+        } catch (e: MalformedException) {
+            return reply.send(400, error("malformed"), null)
+        }
+        val term = hub.term()
+        if (term == null || report.epoch > term || !hub.owns(report.host, report.site)) return
+        own(report, books.getOrPut(report.host) { HostBook(report.host) }, term, reply)
+    }
+
+    /**
+     * No member (yet), or behind the worker's epoch. While the state service does not answer us, we can't
+     * tell an outage from being refused alone: the worker's own epoch keeps its lease, for a bounded time.
+     */
+    private fun withoutTerm(report: Report, reply: Reply) {
+        val behind = hub.world.assignment?.let { report.epoch > it.term } ?: false
+        if (!behind && stateAway() && hub.nowNs - maxOf(startNs, hub.stateOkNs) < hub.settings.workers.cancelS * ALONE_SHARE * NS) {
+            return keepAlive(report.epoch, reply)
+        }
+        val owner = hub.world.assignment?.owner(report.host, report.site)
+        if (owner != null && owner != hub.me.name) steward(owner, reply) else reply.send(421, Body(Wire.encode(emptyMap()), Body.CBOR), null)
+    }
+
+    private fun stateAway() = hub.nowNs - hub.stateOkNs > hub.settings.workers.leaseS * AWAY_SHARE * NS
+
+    private fun keepAlive(epoch: ULong, reply: Reply) =
+        reply.send(200, Body(Wire.encode(ReportCodec.encode(epoch, emptyList())), Body.CBOR), null)
+
+    private fun steward(owner: String?, reply: Reply) =
+        reply.send(421, Body(Wire.encode(mapOf("steward" to owner)), Body.CBOR), null)
+
+    private fun own(report: Report, book: HostBook, term: ULong, reply: Reply) {
+        // Our lease may be over while others already act under a newer term: no orders, and not for ever.
+        if (!hub.leaseValid()) {
+            val silent = hub.nowNs - hub.leaseUntilNs
+            if (silent > hub.settings.workers.cancelS * ALONE_SHARE * NS) return reply.send(503, error("no contact"), RETRY_S)
+            return keepAlive(term, reply)
+        }
+        val last = book.report
+        if (last != null && !report.newerThan(last.tenure, last.tally)) return keepAlive(term, reply)
+        book.report = report
+        book.reportNs = hub.nowNs
+        lastReportNs = book.reportNs
+        if (last == null || last.tenure != report.tenure || last.warningS == null != (report.warningS == null)) {
+            log.info("host={} tenure={} warning_s={} reports to us, term={}", report.host, report.tenure, report.warningS, term)
+            hub.dirty = true
+        }
+        val machine = hub.world.machines[report.host]
+        if (machine == null) {
+            adopt(report)
+            return keepAlive(term, reply)
+        }
+        learn(report, book)
+        if (report.warningS != null) drain(report, term)
+        val records = hub.world.on(report.host)
+        val decision = Orders.decide(report, records, term, mayLaunch = machine.phase == MachinePhase.UP)
+        for (e in decision.events) {
+            blame(e, book)
+            settlement.add(e)
+        }
+        for (o in decision.orders) log.debug("host={} term={} order={}", report.host, term, o)
+        reply.send(200, Body(Wire.encode(ReportCodec.encode(term, decision.orders)), Body.CBOR), null)
+    }
+
+    /** A machine that we do not know is taken in: a rental may be executed after we gave up on its answer. */
+    private fun adopt(report: Report) {
+        val key = Keys.HOST + report.host
+        if (report.host in gone || hub.isBusy(key)) return
+        val machine = Machine(
+            report.host, report.flavor, report.site, report.lendable, MachinePhase.UP, hub.nowMs, null, 0uL,
+        )
+        val conditions = Settlement.fence(hub) + (key to 0uL)
+        hub.commit(Cause.FLEET, Txn(conditions, listOf(Change.Put(key, FleetCodec.encode(machine)))))
+        log.info("host={} unknown, adopted", report.host)
+    }
+
+    private fun learn(report: Report, book: HostBook) {
+        val cache = hub.world.flavors[report.flavor]?.cacheGb ?: return
+        for (t in report.tasks) {
+            if (t.state == TaskState.PULLING || t.state == TaskState.ENDED && t.cause != EndCause.DONE) continue
+            val spec = hub.world.jobs[t.job]?.spec ?: continue
+            val new = spec.bundle !in book.images
+            book.hasImage(spec.bundle, spec.pullGb, cache)
+            if (new) hub.dirty = true
+        }
+    }
+
+    private fun blame(e: TaskEvent, book: HostBook) {
+        if (e is TaskEvent.Done) book.errors = 0
+        if (e !is TaskEvent.Left || !e.failed || book.faulty != null) return
+        val job = hub.world.jobs[e.job] ?: return
+        // A job that already failed elsewhere may itself be the mistake; the first time we blame the machine.
+        if (job.errorHosts.none { it != e.host }) {
+            book.faulty = "task ${e.job}/${e.index} failed"
+            log.info("host={} taken as faulty: {}", e.host, book.faulty)
+            hub.dirty = true
+        }
+    }
+
+    /** The cloud takes the machine back soon: tasks that can save are stopped, so that they go on elsewhere. */
+    private fun drain(report: Report, term: ULong) {
+        for ((job, list) in hub.world.on(report.host).groupBy { it.job }) {
+            if (job.spec.saveEveryS <= 0.0 || job.isGang && job.spec.shards > 1 && list.size == job.spec.shards) continue
+            stop(job.id, list.filter { !it.placed.stopping }.map { it.placed.index }, term, "notice on ${report.host}")
+        }
+    }
+
+    /** Records that tasks are to stop; their halts follow from the records. */
+    fun stop(id: String, tasks: List<Int>, term: ULong, why: String) {
+        val job = hub.world.jobs[id] ?: return
+        if (tasks.isEmpty() || job.chunks.keys.any { hub.isBusy(Keys.chunk(id, it)) }) return
+        val all = if (job.isGang) job.allPlaced().map { it.index }.toList() else tasks
+        val sent = hub.commit(Cause.GANG, Settlement.write(job, job.stop(all), term))
+        if (sent) log.info("job={} tasks={} term={} to stop: {}", id, all, term, why)
+    }
+
+    /** Halts at once what the records no longer want, without waiting for the next report. */
+    fun haltNow() {
+        val term = hub.term() ?: return
+        if (!hub.mayDecide()) return
+        for ((host, book) in books) {
+            val report = book.report ?: continue
+            if (report.tasks.isEmpty() || !hub.owns(host, report.site)) continue
+            if (hub.nowNs - book.haltedNs < hub.settings.workers.reportS * NS) continue
+            val halts = hub.world.on(host).mapNotNull { r ->
+                if (!r.job.cancelled && !r.placed.stopping) return@mapNotNull null
+                val t = report.tasks.firstOrNull {
+                    it.job == r.job.id && it.index == r.placed.index && it.attempt == r.placed.attempt.toULong()
+                }
+                if (t == null || t.state == TaskState.ENDED) null else Orders.halt(t, r)
+            }
+            if (halts.isEmpty()) continue
+            book.haltedNs = hub.nowNs
+            log.debug("host={} term={} direct={}", host, term, halts)
+            direct.send(report.address, ReportCodec.encodeDirect(term, report.tenure, halts))
+        }
+    }
+
+    /** How a machine that we own stands. */
+    fun state(host: String): HostState {
+        val book = books[host]
+        val report = book?.report
+        return when {
+            book?.faulty != null -> HostState.FAULTY
+            report == null || book.reportNs < ownerSinceNs -> if (silent(ownerSinceNs) && expected(host)) HostState.SILENT else HostState.UNSEEN
+            silent(book.reportNs) -> HostState.SILENT
+            report.warningS != null -> HostState.NOTICE
+            else -> HostState.OK
+        }
+    }
+
+    /** It has reported before, to us or to an earlier owner, or carries tasks: its silence means something. */
+    private fun expected(host: String): Boolean =
+        books[host]?.report != null || hub.world.on(host).isNotEmpty() ||
+            hub.world.rooms.values.any { r -> r.hosts[host]?.let { it.tenure > 0uL } ?: false }
+
+    private fun silent(sinceNs: Long): Boolean {
+        val limit = (hub.settings.workers.leaseS * SILENT_SHARE * NS).toLong()
+        if (hub.nowNs - sinceNs < limit) return false
+        // If nobody reports, it is rather us who are cut off.
+        return hub.nowNs - lastReportNs < hub.settings.workers.reportS * HEARD_REPORTS * NS
+    }
+
+    fun book(host: String): HostBook {
+        val known = books[host]
+        if (known != null) return known
+        val book = HostBook(host)
+        hub.world.rooms.values.firstNotNullOfOrNull { it.hosts[host] }?.let(book::inherit)
+        books[host] = book
+        return book
+    }
+
+    fun tick() {
+        val term = hub.term()
+        if (term != termSeen) {
+            termSeen = term
+            ownerSinceNs = hub.nowNs
+            for (b in books.values) b.pushedNs = 0
+        }
+        if (term == null || !hub.mayDecide()) return
+        push(term)
+    }
+
+    /** Tells our workers the epoch when they do not come by themselves: they may be held at a node cut off. */
+    private fun push(term: ULong) {
+        val quiet = (hub.settings.workers.reportS * QUIET_REPORTS * NS).toLong()
+        for (m in hub.world.machines.values) {
+            if (!hub.owns(m)) continue
+            val host = m.name
+            val book = book(host)
+            if (hub.nowNs - maxOf(book.reportNs, ownerSinceNs, book.pushedNs) < quiet) continue
+            val room = hub.world.rooms.values.firstNotNullOfOrNull { r -> r.hosts[host]?.takeIf { it.tenure > 0uL } }
+            val address = book.report?.address ?: room?.address ?: continue
+            val tenure = book.report?.tenure ?: room?.tenure ?: continue
+            if (address.isEmpty()) continue
+            book.pushedNs = hub.nowNs
+            log.debug("host={} epoch={} pushed", host, term)
+            direct.send(address, ReportCodec.encodeDirect(term, tenure, emptyList()))
+        }
+    }
+
+    /** Forgets machines whose keys were dropped. */
+    fun forget(host: String) {
+        books.remove(host)?.report?.let { direct.forget(it.address) }
+        gone += host
+        if (gone.size > GONE_KEPT) gone.remove(gone.first())
+    }
+
+    private fun error(text: String) = Body(Wire.encode(mapOf("error" to text)), Body.CBOR)
+
+    private companion object {
+        val log = LoggerFactory.getLogger("flaxfield.workers")
+        const val NS = 1e9
+        const val RETRY_S = 1
+
+        /** A worker that comes back within this share of its lease after being sent to its owner is relayed. */
+        const val RELAY_SHARE = 0.75
+
+        /** Without contact to the state service, reports are answered for this share of `cancel_s`. */
+        const val ALONE_SHARE = 0.6
+
+        /** The state service seems away after this share of a worker's lease without an answer. */
+        const val AWAY_SHARE = 0.25
+
+        /** A worker silent for this share of its lease is taken as lost: its machine is returned. */
+        const val SILENT_SHARE = 0.75
+
+        /** Others must have been heard within this many report intervals for a silence to count. */
+        const val HEARD_REPORTS = 2.0
+
+        /** A worker not heard of for this many report intervals is sent the epoch. */
+        const val QUIET_REPORTS = 2.0
+        const val GONE_KEPT = 2_000
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/flaxfield/WireTest.kt
@@ -0,0 +1,29 @@
+package flaxfield
+
+import flaxfield.codec.MalformedException
+import flaxfield.codec.Wire
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.assertThrows
+
+class WireTest {
+    @Test
+    fun `counts up to 2^64-1 survive a round trip`() {
+        for (n in listOf(0uL, 1uL, 255uL, 65_536uL, Long.MAX_VALUE.toULong(), Long.MAX_VALUE.toULong() + 1uL, ULong.MAX_VALUE)) {
+            assertEquals(n, Wire.decode(Wire.encode(mapOf("n" to n))).count("n"))
+        }
+    }
+
+    @Test
+    fun `what is no map is refused`() {
+        val bodies = listOf(
+            byteArrayOf(),
+            byteArrayOf(0x01),
+            byteArrayOf(0x80.toByte()),
+            byteArrayOf(0xa1.toByte(), 0x61),
+            Wire.encode(mapOf("a" to 1)) + byteArrayOf(0x00),
+            "{}".toByteArray(),
+        )
+        for (b in bodies) assertThrows<MalformedException> { Wire.decode(b) }
+    }
+}
