--- a/src/main/kotlin/flaxfield/fleet/CloudClient.kt
+++ b/src/main/kotlin/flaxfield/fleet/CloudClient.kt
@@ -3,7 +3,7 @@
 import flaxfield.codec.MalformedException
 import flaxfield.codec.Obj
 import flaxfield.codec.Wire
-import flaxfield.net.HttpClient
+import flaxfield.net.Calls
 
 sealed interface Rented {
     data class Hosts(val names: List<String>) : Rented
@@ -21,7 +21,7 @@
 data class ListPage(val hosts: List<Listed>, val more: Boolean)
 
 /** Speaks the cloud's protocol. Callbacks run on the event loop. */
-class CloudClient(private val http: HttpClient, private val timeoutMs: Long) {
+class CloudClient(private val http: Calls, private val timeoutMs: Long) {
     fun flavors(done: (Map<String, Flavor>?) -> Unit) {
         http.send("GET", "/flavors", null, timeoutMs) { a ->
             done(guard(null) { if (a?.status == OK) FleetCodec.flavors(Wire.decode(a.body)) else null })
--- a/src/main/kotlin/flaxfield/net/HttpClient.kt
+++ b/src/main/kotlin/flaxfield/net/HttpClient.kt
@@ -27,6 +27,11 @@
 /** An answer from another component. A request without one may or may not have been executed. */
 class Answer(val status: Int, val body: ByteArray)
 
+/** Sends requests to one endpoint; [send]'s callback gets null when there was no answer in time. */
+fun interface Calls {
+    fun send(method: String, path: String, body: ByteArray?, timeoutMs: Long, done: (Answer?) -> Unit)
+}
+
 /**
  * A client for one endpoint, with kept-open connections and one request at a time on each.
  * All of it runs on the event loop; the callback gets null when there was no answer in time.
@@ -37,7 +42,7 @@
     private val most: Int,
     private val waitingMost: Int = most * WAITING_PER_CONNECTION,
     private val maxAnswer: Int = MAX_ANSWER,
-) {
+) : Calls {
     private class Call(
         val method: String,
         val path: String,
@@ -61,7 +66,7 @@
     private var lines = 0
 
     /** Sends one request; [done] is called once, on the event loop. */
-    fun send(method: String, path: String, body: ByteArray?, timeoutMs: Long, done: (Answer?) -> Unit) {
+    override fun send(method: String, path: String, body: ByteArray?, timeoutMs: Long, done: (Answer?) -> Unit) {
         executor.execute { start(Call(method, path, body, timeoutMs, done)) }
     }
 
--- /dev/null
+++ b/src/main/kotlin/flaxfield/node/Controller.kt
@@ -0,0 +1,190 @@
+package flaxfield.node
+
+import flaxfield.arrays.ArrayDesk
+import flaxfield.codec.Wire
+import flaxfield.fleet.CloudClient
+import flaxfield.fleet.FleetDesk
+import flaxfield.gangs.GangDesk
+import flaxfield.jobs.JobDesk
+import flaxfield.jobs.Settlement
+import flaxfield.members.Member
+import flaxfield.members.MemberDesk
+import flaxfield.net.Body
+import flaxfield.net.Calls
+import flaxfield.net.Reply
+import flaxfield.net.Request
+import flaxfield.peers.PeerDesk
+import flaxfield.peers.PeerLine
+import flaxfield.peers.PeerMessage
+import flaxfield.settings.Address
+import flaxfield.settings.OperatorSettings
+import flaxfield.settings.Settings
+import flaxfield.store.StoreClient
+import flaxfield.store.World
+import flaxfield.workers.DirectOrders
+import flaxfield.workers.WorkerDesk
+import org.slf4j.LoggerFactory
+
+/** The ways out of one controller; the simulation of the tests gives its own. */
+class Outside(
+    val state: Calls,
+    val watch: Calls,
+    val cloud: Calls,
+    val worker: (Address) -> Calls,
+    val peer: (Address, (PeerMessage) -> Unit) -> PeerLine,
+)
+
+/** What the owner thread takes from its queue. */
+sealed interface Command {
+    class Http(val request: Request) : Command
+
+    class Peer(val message: PeerMessage, val answer: (PeerMessage) -> Unit) : Command
+
+    class Run(val block: () -> Unit) : Command
+}
+
+/**
+ * All state and all decisions of one controller. Whoever calls [handle] and [turn] is its owner: one thread
+ * in a process, the event loop of a simulation in tests.
+ */
+class Controller(
+    private val settings: Settings,
+    operator: OperatorSettings,
+    incarnation: String,
+    clock: Clock,
+    outside: Outside,
+    post: (() -> Unit) -> Unit,
+) {
+    private val hub = Hub(
+        settings,
+        operator,
+        Member(settings.nodeName, incarnation, settings.zone),
+        clock,
+        StoreClient(outside.state, outside.watch, STORE_TIMEOUT_MS),
+        World(),
+        post,
+    )
+    private val metrics = Metrics()
+    private val peers = PeerDesk(hub, outside.peer)
+    private val settlement = Settlement(hub)
+    private val workers = WorkerDesk(hub, settlement, peers, DirectOrders(DIRECT_TIMEOUT_MS, outside.worker))
+    private val jobs = JobDesk(hub)
+    private val members = MemberDesk(hub)
+    private val gangs = GangDesk(hub)
+    private val arrays = ArrayDesk(hub, workers)
+    private val fleet = FleetDesk(hub, CloudClient(outside.cloud, CLOUD_TIMEOUT_MS), settlement)
+    private val follower = Follower(hub, jobs, workers)
+
+    private var nextTickNs = 0L
+    private var nextDecideNs = 0L
+    private var decideAnywayNs = 0L
+
+    fun start() = follower.start()
+
+    fun refused() = metrics.refused()
+
+    /** Carries out one command; no fault in it ends the process. */
+    fun handle(c: Command) = safely {
+        when (c) {
+            is Command.Run -> c.block()
+            is Command.Peer -> peer(c)
+            is Command.Http -> {
+                val startNs = System.nanoTime()
+                route(c.request)
+                metrics.handled(c.request.path, System.nanoTime() - startNs)
+            }
+        }
+    }
+
+    /** What is due by now: called after each batch of commands and at least every [TICK_MS]. */
+    fun turn() {
+        val now = hub.nowNs
+        if (now >= nextTickNs) {
+            nextTickNs = now + TICK_MS * NS_PER_MS
+            tick()
+        }
+        if ((hub.dirty && now >= nextDecideNs) || now >= decideAnywayNs) {
+            nextDecideNs = now + DECIDE_GAP_MS * NS_PER_MS
+            decideAnywayNs = now + DECIDE_ANYWAY_MS * NS_PER_MS
+            decide()
+        }
+    }
+
+    private fun route(r: Request) {
+        val path = r.path
+        when {
+            path == "/hello" -> on(r, "POST") { workers.report(r.body, r.reply) }
+            path == "/work" -> on(r, "POST") { jobs.submit(r.body, r.reply) }
+            path.startsWith("/work/") && path.endsWith("/cancel") ->
+                on(r, "POST") { jobs.cancel(path.removePrefix("/work/").removeSuffix("/cancel"), r.reply) }
+            path.startsWith("/work/") -> on(r, "GET") { jobs.status(path.removePrefix("/work/"), r.reply) }
+            path == "/ready" -> on(r, "GET") { r.reply.send(if (ready()) 200 else 503, Body.EMPTY, null) }
+            path == "/metrics" -> on(r, "GET") { r.reply.send(200, Body(metrics.text().toByteArray(), "text/plain"), null) }
+            else -> r.reply.send(404, Body(Wire.encode(mapOf("error" to "no such path")), Body.CBOR), null)
+        }
+    }
+
+    private fun on(r: Request, method: String, block: () -> Unit) {
+        if (r.method == method) return block()
+        r.reply.send(405, Body(Wire.encode(mapOf("error" to "only $method here")), Body.CBOR), null)
+    }
+
+    /** In an outage for all we stay ready and answer 503; if only we are refused, users are better off elsewhere. */
+    private fun ready(): Boolean {
+        if (!follower.synced) return false
+        val away = hub.nowNs - hub.stateOkNs > settings.workers.leaseS * AWAY_SHARE * NS_PER_S
+        return !away || !peers.stateOkElsewhere()
+    }
+
+    private fun peer(c: Command.Peer) {
+        when (val m = c.message) {
+            is PeerMessage.Pulse -> peers.pulse(m)
+            is PeerMessage.Relay -> workers.relayed(m.report, Reply { status, body, _ -> c.answer(PeerMessage.Relayed(m.id, status, body.bytes)) })
+            is PeerMessage.Relayed -> Unit
+        }
+    }
+
+    private fun tick() {
+        safely { members.tick() }
+        safely { follower.tick() }
+        safely { workers.tick() }
+        safely { jobs.tick() }
+        safely { peers.tick() }
+        safely { fleet.run() }
+    }
+
+    private fun decide() {
+        hub.dirty = false
+        hub.caughtUp()
+        safely { workers.noteTerm() }
+        safely { hub.noteReserved() }
+        safely { settlement.run() }
+        safely { gangs.run() }
+        safely { arrays.run() }
+        safely { workers.haltNow() }
+    }
+
+    /** No fault in one command ends the process. */
+    private inline fun safely(block: () -> Unit) {
+        try {
+            block()
+        } catch (e: Exception) {
+            log.error("internal fault", e)
+        }
+    }
+
+    companion object {
+        private val log = LoggerFactory.getLogger("flaxfield.node")
+
+        /** The owner wakes at least this often. */
+        const val TICK_MS = 100L
+        private const val DECIDE_GAP_MS = 30L
+        private const val DECIDE_ANYWAY_MS = 500L
+        private const val STORE_TIMEOUT_MS = 1_500L
+        private const val CLOUD_TIMEOUT_MS = 4_000L
+        private const val DIRECT_TIMEOUT_MS = 2_000L
+        private const val AWAY_SHARE = 0.25
+        private const val NS_PER_MS = 1_000_000L
+        private const val NS_PER_S = 1e9
+    }
+}
--- a/src/main/kotlin/flaxfield/peers/PeerDesk.kt
+++ b/src/main/kotlin/flaxfield/peers/PeerDesk.kt
@@ -1,14 +1,14 @@
 package flaxfield.peers
 
 import flaxfield.node.Hub
-import io.netty.channel.EventLoopGroup
+import flaxfield.settings.Address
 
 /** Hints between our own processes: pulses and relayed reports. */
-class PeerDesk(private val hub: Hub, loop: EventLoopGroup) {
+class PeerDesk(private val hub: Hub, connect: (Address, (PeerMessage) -> Unit) -> PeerLine) {
     private class Pending(val sinceNs: Long, val done: (Int, ByteArray?) -> Unit)
 
     private val clients = hub.settings.peers.associate { p ->
-        p.name to PeerClient(loop, p.address) { m -> hub.post { answered(m) } }
+        p.name to connect(p.address) { m -> hub.post { answered(m) } }
     }
     private val pending = LinkedHashMap<Long, Pending>()
     private var nextId = 1L
--- a/src/main/kotlin/flaxfield/peers/PeerLink.kt
+++ b/src/main/kotlin/flaxfield/peers/PeerLink.kt
@@ -102,16 +102,21 @@
         .bind(host, port).sync().channel()
 }
 
+/** Sends messages to one peer; none is promised to arrive. */
+fun interface PeerLine {
+    fun send(m: PeerMessage)
+}
+
 /** One outgoing connection to a peer, opened when needed; what can't be sent at once is dropped. */
 class PeerClient(
     private val loop: EventLoopGroup,
     private val address: Address,
     private val onMessage: (PeerMessage) -> Unit,
-) {
+) : PeerLine {
     private var channel: Channel? = null
     private var connecting = false
 
-    fun send(m: PeerMessage) {
+    override fun send(m: PeerMessage) {
         loop.execute {
             val ch = channel
             if (ch != null && ch.isActive) {
--- a/src/main/kotlin/flaxfield/store/StoreClient.kt
+++ b/src/main/kotlin/flaxfield/store/StoreClient.kt
@@ -4,7 +4,7 @@
 import flaxfield.codec.Obj
 import flaxfield.codec.Wire
 import flaxfield.net.Answer
-import flaxfield.net.HttpClient
+import flaxfield.net.Calls
 import java.net.URLEncoder
 
 /** One change in a transaction. */
@@ -56,8 +56,8 @@
 
 /** Speaks the state service's protocol. Callbacks run on the event loop. */
 class StoreClient(
-    private val calls: HttpClient,
-    private val watch: HttpClient,
+    private val calls: Calls,
+    private val watch: Calls,
     private val timeoutMs: Long,
 ) {
     fun txn(txn: Txn, done: (Outcome) -> Unit) {
--- a/src/main/kotlin/flaxfield/workers/DirectOrders.kt
+++ b/src/main/kotlin/flaxfield/workers/DirectOrders.kt
@@ -2,13 +2,12 @@
 
 import flaxfield.codec.MalformedException
 import flaxfield.codec.Wire
-import flaxfield.net.HttpClient
+import flaxfield.net.Calls
 import flaxfield.settings.Address
-import io.netty.channel.EventLoopGroup
 
 /** Sends `/do` to workers: halts and epoch pushes only, since such a command may be executed late. */
-class DirectOrders(private val loop: EventLoopGroup, private val timeoutMs: Long) {
-    private val clients = LinkedHashMap<String, HttpClient>()
+class DirectOrders(private val timeoutMs: Long, private val connect: (Address) -> Calls) {
+    private val clients = LinkedHashMap<String, Calls>()
 
     /** The answer is not used: a report by `/do` may be older than a launch on its way. */
     fun send(address: String, message: Map<String, Any?>) {
@@ -16,14 +15,14 @@
         client.send("POST", "/do", Wire.encode(message), timeoutMs) { }
     }
 
-    private fun open(address: String): HttpClient? {
+    private fun open(address: String): Calls? {
         val parsed = try {
             Address.parse(address)
         } catch (e: MalformedException) {
             return null
         }
         if (clients.size >= MOST) clients.remove(clients.keys.first())
-        return HttpClient(loop, parsed, 1).also { clients[address] = it }
+        return connect(parsed).also { clients[address] = it }
     }
 
     fun forget(address: String) {
--- a/src/main/kotlin/flaxfield/workers/WorkerDesk.kt
+++ b/src/main/kotlin/flaxfield/workers/WorkerDesk.kt
@@ -227,10 +227,13 @@
             hub.world.rooms.values.any { r -> r.hosts[host]?.let { it.tenure > 0uL } ?: false }
 
     private fun silent(sinceNs: Long): Boolean {
-        val limit = (hub.settings.workers.leaseS * SILENT_SHARE * NS).toLong()
-        if (hub.nowNs - sinceNs < limit) return false
-        // If nobody reports, it is rather us who are cut off.
-        return hub.nowNs - lastReportNs < hub.settings.workers.reportS * HEARD_REPORTS * NS
+        val lease = hub.settings.workers.leaseS * NS
+        val quiet = hub.nowNs - sinceNs
+        if (quiet < lease * SILENT_SHARE) return false
+        // If nobody reports, it is rather us who are cut off; but the last machines of a part may be lost
+        // together, and their tasks must not wait for ever: a node cut off for long has lost its own lease.
+        val heard = hub.nowNs - lastReportNs < hub.settings.workers.reportS * HEARD_REPORTS * NS
+        return heard || quiet > lease * SILENT_ALONE_SHARE
     }
 
     /**
@@ -305,6 +308,9 @@
         /** A worker silent for this share of its lease is taken as lost: its machine is returned. */
         const val SILENT_SHARE = 0.75
 
+        /** The same where no machine is heard at all. */
+        const val SILENT_ALONE_SHARE = 2.0
+
         /** Others must have been heard within this many report intervals for a silence to count. */
         const val HEARD_REPORTS = 2.0
 
--- /dev/null
+++ b/src/test/kotlin/flaxfield/sim/Rules.kt
@@ -0,0 +1,86 @@
+package flaxfield.sim
+
+import flaxfield.jobs.JobSpec
+
+/** The rules at the end of PROTOCOL-flaxfield.md, checked against what really happens on machines. */
+class Rules(private val limits: Map<String, Double>, private val cancelS: Double) {
+    data class Place(val host: String, val flavor: String, val site: String, val lendable: Boolean)
+
+    val broken = ArrayList<String>()
+    private val specs = HashMap<String, JobSpec>()
+    private val on = HashMap<Pair<String, Int>, Place>()
+    private val told = HashMap<String, String>()
+    private val cancelledAt = HashMap<String, Double>()
+    private val finished = HashMap<String, MutableSet<Int>>()
+    private val cancelAsked = HashSet<String>()
+    var starts = 0
+        private set
+
+    fun submitted(spec: JobSpec) {
+        specs[spec.id] = spec
+    }
+
+    fun cancelAsked(id: String) {
+        cancelAsked += id
+    }
+
+    /** A task has its image: from here on it is on its machine. */
+    fun starts(id: String, task: Int, place: Place, nowS: Double) {
+        val spec = specs[id] ?: return broke("invented", "$id starts")
+        starts++
+        on[id to task]?.let { broke("ran_twice", "$id/$task starts on ${place.host} while on ${it.host}") }
+        val others = on.filter { it.key.first == id && it.key.second != task }.values
+        val wrong = (spec.flavors?.let { place.flavor !in it } ?: false) || (spec.site ?: place.site) != place.site ||
+            (place.lendable && !spec.lendable) || (spec.samePlace && others.any { it.site != place.site }) ||
+            (spec.scatter && others.count { it.site == place.site } + 1 > (spec.shards + 1) / 2)
+        if (wrong) broke("wrong_place", "$id/$task starts on $place")
+        on[id to task] = place
+        val used = on.keys.filter { specs[it.first]?.owner == spec.owner }.sumOf { specs[it.first]?.need?.gpus ?: 0.0 }
+        if (used > (limits[spec.owner] ?: Double.MAX_VALUE)) broke("quota", "${spec.owner} uses $used")
+        cancelledAt[id]?.let { if (nowS - it > cancelS) broke("ran_cancelled", "$id/$task starts") }
+    }
+
+    fun leaves(id: String, task: Int, host: String) {
+        if (on[id to task]?.host == host) on.remove(id to task)
+    }
+
+    fun completes(id: String, task: Int) {
+        finished.getOrPut(id) { HashSet() } += task
+    }
+
+    fun check(nowS: Double) {
+        for ((key, place) in on) {
+            val at = cancelledAt[key.first] ?: continue
+            if (nowS - at > cancelS) broke("ran_cancelled", "${key.first}/${key.second} is on ${place.host}")
+        }
+    }
+
+    /** An answer to a user: `phase` is null for 404. */
+    fun answered(id: String, phase: String?, nowS: Double) {
+        val spec = specs[id]
+        if (spec == null) {
+            if (phase != null) broke("invented", "$id is called $phase")
+            return
+        }
+        val before = told[id]
+        if (phase == null) {
+            if (before != null) broke("forgotten", "$id gets 404")
+            return
+        }
+        if (before in FINAL && phase != before) broke("went_back", "$id was $before, is $phase")
+        if (phase == "aborted" && id !in cancelAsked) broke("went_back", "$id is aborted without its user")
+        if (phase == "done" && (finished[id]?.size ?: 0) < spec.shards) broke("not_done", "$id is called done")
+        if (phase == "aborted" && before != phase) cancelledAt[id] = nowS
+        told[id] = phase
+    }
+
+    fun told(id: String): String? = told[id]
+
+    private fun broke(rule: String, what: String) {
+        broken += "$rule: $what"
+    }
+
+    companion object {
+        val FINAL = setOf("done", "aborted")
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/flaxfield/sim/SimLoop.kt
@@ -0,0 +1,78 @@
+package flaxfield.sim
+
+import flaxfield.net.Answer
+import flaxfield.net.Calls
+import flaxfield.node.Clock
+import java.util.PriorityQueue
+import kotlin.random.Random
+
+/** Simulated time: actions in their order, and one seeded source of chance. */
+class SimLoop(seed: Int) : Clock {
+    private class Event(val at: Long, val order: Long, val run: () -> Unit)
+
+    private val queue = PriorityQueue(compareBy<Event>({ it.at }, { it.order }))
+    private var order = 0L
+    var nowNs = SECOND
+        private set
+    val random = Random(seed)
+    val nowS: Double get() = nowNs / SECOND.toDouble()
+
+    override fun steadyNs() = nowNs
+
+    override fun dayMs() = DAY_START_MS + nowNs / MS
+
+    fun after(ns: Long, run: () -> Unit) {
+        queue += Event(nowNs + ns, order++, run)
+    }
+
+    fun runUntil(endS: Double) {
+        while (true) {
+            val e = queue.peek() ?: return
+            if (e.at > endS * SECOND) return
+            queue.poll()
+            nowNs = e.at
+            e.run()
+        }
+    }
+
+    companion object {
+        const val MS = 1_000_000L
+        const val SECOND = 1_000_000_000L
+        private const val DAY_START_MS = 1_700_000_000_000L
+    }
+}
+
+/** What happens to messages between two parties now. */
+class Wire(private val loop: SimLoop) {
+    /** Neither requests nor answers arrive. */
+    var cut = false
+
+    /** Chance that a request is executed but its answer is lost. */
+    var loseAnswer = 0.0
+
+    /** Chance that a request is executed only after its sender has given up. */
+    var late = 0.0
+
+    /** A line to [server], which answers through its callback, at once or later. */
+    fun line(alive: () -> Boolean, server: (String, String, ByteArray, (Answer) -> Unit) -> Unit) =
+        Calls { method, path, body, timeoutMs, done ->
+            var over = false
+            fun finish(a: Answer?) {
+                if (over) return
+                over = true
+                if (alive()) done(a)
+            }
+            loop.after(timeoutMs * SimLoop.MS) { finish(null) }
+            val chance = loop.random.nextDouble()
+            val delay = if (chance < late) (timeoutMs + loop.random.nextLong(4_000)) * SimLoop.MS else hop()
+            if (!cut) {
+                loop.after(delay) {
+                    server(method, path, body ?: ByteArray(0)) { answer ->
+                        if (loop.random.nextDouble() >= loseAnswer) loop.after(hop()) { if (!cut) finish(answer) }
+                    }
+                }
+            }
+        }
+
+    private fun hop() = loop.random.nextLong(SimLoop.MS, 5 * SimLoop.MS)
+}
--- /dev/null
+++ b/src/test/kotlin/flaxfield/sim/SimMachines.kt
@@ -0,0 +1,306 @@
+package flaxfield.sim
+
+import flaxfield.codec.Obj
+import flaxfield.jobs.JobCodec
+import flaxfield.jobs.JobSpec
+import flaxfield.jobs.Room
+import flaxfield.jobs.Shape
+import flaxfield.net.Answer
+import flaxfield.codec.Wire as Cbor
+
+/** Times of the simulated workers, as PROTOCOL-flaxfield.md describes them. */
+class SimTimes(val reportS: Double, val leaseS: Double, val gangWaitS: Double, val gangPeerS: Double)
+
+/** Gangs start together and complete together, wherever their tasks are. */
+class SimGangs {
+    val members = HashMap<Pair<String, Long>, HashSet<SimWorker.Task>>()
+    val runningSince = HashMap<Pair<String, Long>, Double>()
+}
+
+/** A stand-in for one worker: leases, tokens, tasks, and reports to one controller at a time. */
+class SimWorker(
+    private val loop: SimLoop,
+    val place: Rules.Place,
+    private val room: Room,
+    private val rules: Rules,
+    private val specs: Map<String, JobSpec>,
+    private val gangs: SimGangs,
+    private val times: SimTimes,
+    private val nodes: List<String>,
+    private val hello: (String, ByteArray, (Answer?) -> Unit) -> Unit,
+) {
+    class Task(val spec: JobSpec, val index: Int, val attempt: Long) {
+        var state = "pulling"
+        var cause: String? = null
+        var left = 0.0
+        val key get() = spec.id to index
+    }
+
+    private val tasks = LinkedHashMap<Pair<Pair<String, Int>, Long>, Task>()
+    private var tenure = 1L
+    private var tally = 0L
+    private var epoch = 0uL
+    private var sentOk = loop.nowS
+    private var sessionSince = loop.nowS
+    private var node = loop.random.nextInt(nodes.size)
+    private var flying = false
+    private var changed = true
+    private var lastSent = -1.0
+    var hangs = false
+    var gone = false
+
+    /** Every task that starts here fails. */
+    var sick = false
+
+    fun start() {
+        loop.after((STEP_S * SimLoop.SECOND).toLong(), ::step)
+    }
+
+    private fun step() {
+        if (gone) return
+        if (!hangs) {
+            lease()
+            for (t in tasks.values.toList()) progress(t)
+            val due = loop.nowS - lastSent
+            if (!flying && (due > times.reportS || changed && due > MIN_GAP_S)) report()
+        }
+        loop.after((STEP_S * SimLoop.SECOND).toLong(), ::step)
+    }
+
+    private fun lease() {
+        if (loop.nowS - maxOf(sentOk, sessionSince) <= times.leaseS) return
+        for (t in tasks.values.toList()) off(t)
+        tasks.clear()
+        tenure++
+        sessionSince = loop.nowS
+        changed = true
+    }
+
+    /** The machine and all on it are gone. */
+    fun die() {
+        gone = true
+        for (t in tasks.values.toList()) off(t)
+        tasks.clear()
+    }
+
+    private fun off(t: Task) {
+        if (t.state != "ended" && t.state != "pulling") rules.leaves(t.spec.id, t.index, place.host)
+        gangs.members[t.spec.id to t.attempt]?.remove(t)
+    }
+
+    private fun end(t: Task, cause: String) {
+        off(t)
+        t.state = "ended"
+        t.cause = cause
+        changed = true
+    }
+
+    private fun progress(t: Task) {
+        t.left -= STEP_S
+        val key = t.spec.id to t.attempt
+        when (t.state) {
+            "pulling" -> if (t.left <= 0) {
+                rules.starts(t.spec.id, t.index, place, loop.nowS)
+                changed = true
+                t.left = if (sick) SICK_S else t.spec.expectS
+                if (t.spec.shape == Shape.GANG) {
+                    t.state = "gathering"
+                    gangs.members.getOrPut(key) { HashSet() } += t
+                    if (!sick) t.left = times.gangWaitS
+                } else {
+                    t.state = "running"
+                }
+            }
+            "gathering" -> when {
+                sick && t.left <= 0 -> end(t, "error")
+                gangs.members[key]?.size == t.spec.shards -> {
+                    t.state = "running"
+                    t.left = t.spec.expectS
+                    gangs.runningSince.putIfAbsent(key, loop.nowS)
+                }
+                gangs.runningSince.containsKey(key) -> end(t, "mates_gone")
+                t.left <= 0 -> end(t, "incomplete")
+            }
+            "running" -> when {
+                t.spec.shape == Shape.GANG && (gangs.members[key]?.size ?: 0) < t.spec.shards && t.left > 0 ->
+                    if (!rulesSayDone(t)) end(t, "mates_gone") else complete(t)
+                t.left <= 0 -> if (sick) end(t, "error") else complete(t)
+            }
+            "saving" -> if (t.left <= 0) end(t, "stopped")
+        }
+    }
+
+    private val doneGangs get() = gangs.runningSince
+
+    private fun rulesSayDone(t: Task) = (doneGangs[t.spec.id to t.attempt] ?: 0.0) < 0
+
+    private fun complete(t: Task) {
+        if (t.spec.shape == Shape.GANG) {
+            doneGangs[t.spec.id to t.attempt] = -1.0
+            for (i in 0 until t.spec.shards) rules.completes(t.spec.id, i)
+        } else {
+            rules.completes(t.spec.id, t.index)
+        }
+        end(t, "done")
+    }
+
+    private fun body(): Map<String, Any?> = mapOf(
+        "host" to place.host, "address" to "10.1.0.1:${place.host.removePrefix("host-").toInt() + 1}", "flavor" to place.flavor,
+        "site" to place.site, "lendable" to place.lendable, "tenure" to tenure, "tally" to ++tally, "epoch" to epoch, "warning_s" to null,
+        "shards" to tasks.values.map {
+            mapOf("shard" to JobCodec.taskName(it.spec.id, it.index), "try" to it.attempt, "phase" to it.state, "cause" to it.cause)
+        },
+    )
+
+    private fun report() {
+        flying = true
+        changed = false
+        lastSent = loop.nowS
+        val sent = loop.nowS
+        val session = tenure
+        hello(nodes[node], Cbor.encode(body())) { a ->
+            flying = false
+            if (gone) return@hello
+            when (a?.status) {
+                200 -> if (session == tenure) answered(Cbor.decode(a.body), sent)
+                421 -> {
+                    val steward = Cbor.decode(a.body).text("steward")
+                    node = nodes.indexOf(steward).takeIf { it >= 0 && it != node } ?: ((node + 1) % nodes.size)
+                    changed = true
+                }
+                else -> node = (node + 1) % nodes.size
+            }
+        }
+    }
+
+    private fun answered(o: Obj, sent: Double) {
+        val token = o.count("epoch") ?: return
+        if (token < epoch || loop.nowS - sent > DROP_S) return
+        see(token)
+        sentOk = sent
+        obey(o)
+    }
+
+    private fun see(token: ULong) {
+        if (token > epoch) changed = true
+        epoch = maxOf(epoch, token)
+    }
+
+    /** `/do`: executed if token and session match. */
+    fun direct(o: Obj): Answer {
+        val fits = (o.count("epoch") ?: 0uL) >= epoch && o.count("tenure")?.toLong() == tenure
+        if (fits) {
+            see(o.needCount("epoch"))
+            obey(o)
+        }
+        return Answer(if (fits) 200 else 409, Cbor.encode(body()))
+    }
+
+    private fun obey(o: Obj) {
+        for (order in o.objs("orders")) {
+            val (id, index) = JobCodec.task(order.needText("shard")) ?: continue
+            val attempt = order.needCount("try").toLong()
+            val key = (id to index) to attempt
+            when (order.text("verb")) {
+                "launch" -> launch(id, index, attempt)
+                "halt" -> tasks[key]?.let { halt(it, order.needNumber("wind_down_s")) }
+                "clear" -> if (tasks[key]?.state == "ended") tasks.remove(key)
+            }
+        }
+    }
+
+    private fun launch(id: String, index: Int, attempt: Long) {
+        if (((id to index) to attempt) in tasks) return
+        val spec = specs.getValue(id)
+        val t = Task(spec, index, attempt)
+        val live = tasks.values.filter { it.state != "ended" }
+        tasks[t.key to attempt] = t
+        changed = true
+        val free = live.fold(room) { r, x -> r - x.spec.need }
+        t.left = loop.random.nextDouble(0.5, 2.0)
+        if (live.any { it.key == t.key }) {
+            t.state = "ended"
+            t.cause = "in_use"
+        } else if (!free.holds(spec.need)) {
+            t.state = "ended"
+            t.cause = "no_room"
+        }
+    }
+
+    private fun halt(t: Task, windDown: Double) {
+        if (t.state == "ended") return
+        if (t.state == "running" && t.spec.saveEveryS > 0 && windDown >= t.spec.saveS) {
+            t.state = "saving"
+            t.left = t.spec.saveS
+        } else if (t.state != "saving" || windDown == 0.0) {
+            end(t, "stopped")
+        }
+    }
+
+    private companion object {
+        const val STEP_S = 0.1
+        const val MIN_GAP_S = 0.5
+        const val DROP_S = 4.0
+        const val SICK_S = 0.5
+    }
+}
+
+/** A stand-in for the cloud: rentals, returns and a list that lags. */
+class SimCloud(private val loop: SimLoop, private val capacity: Map<String, Int>, private val lagS: Double, private val boot: (Rules.Place) -> SimWorker) {
+    val machines = LinkedHashMap<String, SimWorker>()
+    private val answers = HashMap<String, List<String>>()
+    private val history = ArrayList<Pair<Double, List<Map<String, Any?>>>>()
+    private var next = 0
+
+    fun serve(method: String, target: String, body: ByteArray, answer: (Answer) -> Unit) {
+        when {
+            target == "/flavors" -> answer(reply(200, mapOf("flavors" to FLAVORS)))
+            target == "/machines" && method == "POST" -> answer(rent(Cbor.decode(body)))
+            target == "/machines/return" -> {
+                for (h in Cbor.decode(body).texts("hosts").orEmpty()) machines.remove(h)?.die()
+                answer(reply(200, emptyMap()))
+            }
+            else -> {
+                note()
+                val seen = history.lastOrNull { it.first <= loop.nowS - lagS }?.second.orEmpty()
+                answer(reply(200, mapOf("hosts" to seen, "more" to false)))
+            }
+        }
+    }
+
+    private fun rent(o: Obj): Answer {
+        val hire = o.needText("hire")
+        val known = answers[hire]
+        if (known != null) return reply(200, mapOf("hosts" to known))
+        val place = Rules.Place("", o.needText("flavor"), o.needText("site"), o.needFlag("lendable"))
+        val held = machines.values.count { it.place.copy(host = "") == place }
+        val n = minOf(o.needInt("how_many"), (capacity[place.site] ?: 0) - held)
+        if (n <= 0) return reply(503, mapOf("error" to "no capacity"))
+        val names = (0 until n).map { "host-%06d".format(next++) }
+        for (name in names) {
+            val w = boot(place.copy(host = name))
+            machines[name] = w
+            loop.after((loop.random.nextDouble(1.0, 6.0) * SimLoop.SECOND).toLong()) { if (!w.gone) w.start() }
+        }
+        answers[hire] = names
+        return reply(200, mapOf("hosts" to names))
+    }
+
+    fun note() {
+        history += loop.nowS to machines.values.map { mapOf("id" to it.place.host, "phase" to "running", "held_s" to 1.0) }
+        if (history.size > KEPT) history.removeAt(0)
+    }
+
+    private fun reply(status: Int, map: Map<String, Any?>) = Answer(status, Cbor.encode(map))
+
+    companion object {
+        private const val KEPT = 500
+        val ROOM = Room(16.0, 4.0, 64.0)
+        private val FLAVORS = listOf(
+            mapOf(
+                "label" to "big", "vcpus" to ROOM.cpus, "accelerators" to ROOM.gpus, "ram_gb" to ROOM.ram, "local_gb" to 100.0,
+                "pull_gb_per_s" to 4.0, "rate" to 8.0, "low_price" to 3.0, "ready_s" to 4.0, "sites" to listOf("a", "b"),
+            ),
+        )
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/flaxfield/sim/SimState.kt
@@ -0,0 +1,120 @@
+package flaxfield.sim
+
+import flaxfield.codec.Obj
+import flaxfield.net.Answer
+import java.net.URLDecoder
+import java.util.TreeMap
+import flaxfield.codec.Wire as Cbor
+
+/** A stand-in for the state service: keys, conditional transactions, leases and watches. */
+class SimState(private val loop: SimLoop) {
+    private class Entry(val value: Any?, val stamp: Long, val lease: Long?)
+
+    private class Change(val key: String, val value: Any?, val stamp: Long)
+
+    private class Watch(val under: String, val from: Long, val answer: (Answer) -> Unit) {
+        var over = false
+    }
+
+    private val keys = TreeMap<String, Entry>()
+    private val log = ArrayList<Change>()
+    private val leases = HashMap<Long, Pair<Long, Long>>()
+    private val watches = ArrayList<Watch>()
+    private var ledger = 0L
+    private var nextLease = 1L
+
+    /** Nobody is served. Leases have their full time again afterwards. */
+    var outage = false
+        set(value) {
+            if (field && !value) for ((id, l) in leases.toMap()) leases[id] = loop.nowNs + l.second to l.second
+            field = value
+            if (!value) tell()
+        }
+
+    fun serve(method: String, target: String, body: ByteArray, answer: (Answer) -> Unit) {
+        expire()
+        val path = target.substringBefore('?')
+        val query = target.substringAfter('?', "").split('&').filter { it.isNotEmpty() }
+            .associate { it.substringBefore('=') to URLDecoder.decode(it.substringAfter('='), Charsets.UTF_8) }
+        if (outage) return answer(reply(503, emptyMap()))
+        when {
+            path == "/txn" -> answer(txn(Cbor.decode(body)))
+            path == "/leases" -> {
+                val ttl = Cbor.decode(body).needInt("ttl_ms") * SimLoop.MS
+                leases[nextLease] = loop.nowNs + ttl to ttl
+                answer(reply(200, mapOf("tether" to nextLease++)))
+            }
+            path.endsWith("/extend") -> {
+                val id = path.split('/')[2].toLong()
+                val l = leases[id]
+                if (l != null) leases[id] = loop.nowNs + l.second to l.second
+                answer(reply(if (l == null) 404 else 200, emptyMap()))
+            }
+            path == "/follow" -> {
+                val w = Watch(query.getValue("under"), query.getValue("from").toLong(), answer)
+                watches += w
+                loop.after(query.getValue("block_ms").toLong() * SimLoop.MS) { if (!outage) finish(w) }
+                tell()
+            }
+            path == "/keys" -> answer(list(query))
+            else -> {
+                val e = keys[path.removePrefix("/keys/")]
+                answer(if (e == null) reply(404, mapOf("ledger" to ledger)) else reply(200, mapOf("value" to e.value, "stamp" to e.stamp)))
+            }
+        }
+    }
+
+    private fun txn(o: Obj): Answer {
+        val puts = o.objs("apply")
+        if (puts.any { it.count("tether")?.toLong()?.let { l -> l !in leases } ?: false }) return reply(400, mapOf("error" to "no such lease"))
+        val failed = o.objs("when").filter { (keys[it.needText("k")]?.stamp ?: 0L) != it.needCount("stamp").toLong() }.map { it.needText("k") }
+        if (failed.isNotEmpty()) return reply(409, mapOf("failed" to failed, "ledger" to ledger))
+        if (puts.isNotEmpty()) ledger++
+        for (p in puts) set(p.text("write") ?: p.needText("drop"), p.map["value"], p.count("tether")?.toLong(), p.text("write") != null)
+        tell()
+        return reply(200, mapOf("ledger" to ledger))
+    }
+
+    private fun set(key: String, value: Any?, lease: Long?, put: Boolean) {
+        if (put) keys[key] = Entry(value, ledger, lease) else keys.remove(key)
+        log += Change(key, if (put) value else null, ledger)
+    }
+
+    private fun list(query: Map<String, String>): Answer {
+        val under = query.getValue("under")
+        val found = keys.tailMap(query["from"] ?: under, query["from"] == null).entries.takeWhile { it.key.startsWith(under) }
+        val limit = query.getValue("limit").toInt()
+        val items = found.take(limit).map { (k, e) -> mapOf("k" to k, "value" to e.value, "stamp" to e.stamp) }
+        return reply(200, mapOf("items" to items, "more" to (found.size > limit), "ledger" to ledger))
+    }
+
+    private fun tell() {
+        if (outage) return
+        for (w in watches.filter { w -> log.any { it.stamp > w.from && it.key.startsWith(w.under) } }) finish(w)
+    }
+
+    private fun finish(w: Watch) {
+        if (w.over) return
+        w.over = true
+        watches.remove(w)
+        val news = log.filter { it.stamp > w.from && it.key.startsWith(w.under) }.map {
+            if (it.value != null) mapOf("write" to it.key, "value" to it.value, "stamp" to it.stamp) else mapOf("drop" to it.key, "stamp" to it.stamp)
+        }
+        w.answer(reply(200, mapOf("ledger" to ledger, "news" to news)))
+    }
+
+    /** Ends the leases whose time is up; called by requests and by the clock. */
+    fun expire() {
+        if (outage) return
+        for ((id, l) in leases.toMap()) {
+            if (loop.nowNs <= l.first) continue
+            leases.remove(id)
+            val tied = keys.filter { it.value.lease == id }.keys.toList()
+            if (tied.isNotEmpty()) ledger++
+            for (k in tied) set(k, null, null, put = false)
+        }
+        tell()
+    }
+
+    private fun reply(status: Int, map: Map<String, Any?>) = Answer(status, Cbor.encode(map))
+}
--- /dev/null
+++ b/src/test/kotlin/flaxfield/sim/SimulationTest.kt
@@ -0,0 +1,225 @@
+package flaxfield.sim
+
+import flaxfield.Samples
+import flaxfield.codec.Obj
+import flaxfield.jobs.JobCodec
+import flaxfield.jobs.JobSpec
+import flaxfield.jobs.Room
+import flaxfield.jobs.Shape
+import flaxfield.jobs.Urgency
+import flaxfield.net.Answer
+import flaxfield.net.Request
+import flaxfield.node.Command
+import flaxfield.node.Controller
+import flaxfield.node.Outside
+import flaxfield.peers.PeerLine
+import flaxfield.peers.PeerMessage
+import flaxfield.settings.Address
+import flaxfield.settings.OperatorSettings
+import flaxfield.settings.Peer
+import flaxfield.settings.Settings
+import flaxfield.settings.StateLimits
+import flaxfield.settings.WorkerTimes
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import flaxfield.codec.Wire as Cbor
+
+/** Three controllers against stand-ins, with troubles by seed; every rule is checked all the time. */
+class SimulationTest {
+    private class Cluster(seed: Int) {
+        val loop = SimLoop(seed)
+        val state = SimState(loop)
+        val rules = Rules(mapOf("red" to 10.0), CANCEL_S)
+        val specs = HashMap<String, JobSpec>()
+        val names = listOf("n-0", "n-1", "n-2")
+        private val zones = listOf("a", "b", "a")
+        private val times = WorkerTimes(1.0, 6.0, 10.0, 3.0, CANCEL_S)
+        private val runs = IntArray(3)
+        private val nodes = arrayOfNulls<Controller>(3)
+        val stateWire = List(3) { Wire(loop) }
+        val workerWire = List(3) { Wire(loop) }
+        private val gangs = SimGangs()
+        val cloud: SimCloud = SimCloud(loop, mapOf("a" to 3, "b" to 3), lagS = 3.0) { place ->
+            SimWorker(loop, place, SimCloud.ROOM, rules, specs, gangs, SimTimes(1.0, 6.0, 10.0, 3.0), names, ::hello)
+        }
+
+        private fun settings(i: Int) = Settings(
+            names[i], zones[i], Address("10.0.0.${i + 1}", 1), Address("10.0.0.${i + 1}", 2),
+            names.indices.filter { it != i }.map { Peer(names[it], Address("10.0.0.${it + 1}", 2)) },
+            Address("10.2.0.1", 1), Address("10.2.0.2", 1), 3, listOf(Samples.team("red", gpus = 4.0, gpusMax = 10.0), Samples.team("blue")).associateBy { it.name },
+            emptyList(), times, StateLimits(150.0, 60.0, 4.0, 24), 2.0, 3.0, 1000,
+        )
+
+        fun boot(i: Int) {
+            val run = ++runs[i]
+            val alive = { runs[i] == run && nodes[i] != null }
+            var self: Controller? = null
+            val post: (() -> Unit) -> Unit = { block ->
+                loop.after(1) {
+                    if (alive()) {
+                        self?.handle(Command.Run(block))
+                        self?.turn()
+                    }
+                }
+            }
+            val outside = Outside(
+                stateWire[i].line(alive, state::serve),
+                stateWire[i].line(alive, state::serve),
+                Wire(loop).apply { late = 0.02; loseAnswer = 0.02 }.line(alive, cloud::serve),
+                { address -> workerWire[i].line(alive) { _, _, body, answer -> direct(address, body, answer) } },
+                { address, onMessage -> PeerLine { m -> peer(i, address, m) { if (alive()) onMessage(it) } } },
+            )
+            val c = Controller(settings(i), OperatorSettings(), "run$run", loop, outside, post)
+            self = c
+            nodes[i] = c
+            c.start()
+            beat(i, run)
+        }
+
+        private fun beat(i: Int, run: Int) {
+            if (runs[i] != run) return
+            nodes[i]?.turn()
+            loop.after(Controller.TICK_MS * SimLoop.MS) { beat(i, run) }
+        }
+
+        fun kill(i: Int, downS: Double) {
+            runs[i]++
+            nodes[i] = null
+            loop.after((downS * SimLoop.SECOND).toLong()) { if (nodes[i] == null) boot(i) }
+        }
+
+        private fun direct(address: Address, body: ByteArray, answer: (Answer) -> Unit) {
+            val w = cloud.machines["host-%06d".format(address.port - 1)] ?: return
+            if (w.hangs) loop.after(5 * SimLoop.SECOND) { if (!w.gone) w.direct(Cbor.decode(body)) } else answer(w.direct(Cbor.decode(body)))
+        }
+
+        private fun peer(from: Int, address: Address, m: PeerMessage, back: (PeerMessage) -> Unit) {
+            val to = address.host.substringAfterLast('.').toInt() - 1
+            loop.after(2 * SimLoop.MS) {
+                if (!workerWire[from].cut && !workerWire[to].cut) {
+                    nodes[to]?.handle(Command.Peer(m) { r -> loop.after(2 * SimLoop.MS) { back(r) } })
+                }
+            }
+        }
+
+        private fun hello(node: String, body: ByteArray, done: (Answer?) -> Unit) = http(names.indexOf(node), "POST", "/hello", body, 4_000, workerWire[names.indexOf(node)], done)
+
+        fun user(i: Int, method: String, path: String, body: ByteArray, done: (Answer?) -> Unit) = http(i, method, path, body, 2_000, Wire(loop), done)
+
+        private fun http(i: Int, method: String, path: String, body: ByteArray, timeoutMs: Long, wire: Wire, done: (Answer?) -> Unit) {
+            val line = wire.line({ true }) { m, p, b, answer ->
+                nodes[i]?.apply {
+                    handle(Command.Http(Request(m, p, "", b) { status, out, _ -> answer(Answer(status, out.bytes)) }))
+                    turn()
+                }
+            }
+            line.send(method, path, body, timeoutMs, done)
+        }
+    }
+
+    private class User(private val c: Cluster, val spec: JobSpec, private val cancels: Boolean) {
+        private fun node() = c.loop.random.nextInt(3)
+
+        fun submit() {
+            c.user(node(), "POST", "/work", Cbor.encode(JobCodec.encodeSpec(spec))) { a ->
+                if (a != null && (a.status == 201 || a.status == 200)) {
+                    c.rules.answered(spec.id, phase(a), c.loop.nowS)
+                    poll()
+                    if (cancels) c.loop.after(8 * SimLoop.SECOND, ::cancel)
+                } else {
+                    if (a != null) assertTrue(a.status in setOf(429, 503), "submission got ${a.status}")
+                    c.loop.after(SimLoop.SECOND, ::submit)
+                }
+            }
+        }
+
+        private fun cancel() {
+            c.rules.cancelAsked(spec.id)
+            c.user(node(), "POST", "/work/${spec.id}/cancel", ByteArray(0)) { a ->
+                if (a?.status == 200) c.rules.answered(spec.id, phase(a), c.loop.nowS) else c.loop.after(SimLoop.SECOND, ::cancel)
+            }
+        }
+
+        private fun poll() {
+            c.user(node(), "GET", "/work/${spec.id}", ByteArray(0)) { a ->
+                if (a?.status == 200) c.rules.answered(spec.id, phase(a), c.loop.nowS)
+                if (a?.status == 404) c.rules.answered(spec.id, null, c.loop.nowS)
+                c.loop.after(2 * SimLoop.SECOND, ::poll)
+            }
+        }
+
+        private fun phase(a: Answer) = Obj(Cbor.decode(a.body).map).needText("phase")
+    }
+
+    private fun jobs(c: Cluster): List<User> = (1..14).map { n ->
+        val r = c.loop.random
+        val gang = n % 3 == 0
+        val spec = Samples.spec(
+            id = "job-$n", shape = if (gang) Shape.GANG else Shape.ARRAY, shards = if (gang) 1 + r.nextInt(3) else 1 + r.nextInt(120).coerceAtMost(8) * (if (n == 7) 12 else 1),
+            urgency = if (gang) Urgency.HIGH else Urgency.IDLE, owner = if (n % 2 == 0) "red" else "blue", lendable = !gang,
+            need = if (gang) Room(12.0, 3.0, 40.0) else Room(4.0, 1.0, 16.0), samePlace = n % 6 == 0, scatter = n % 5 == 0 && !gang,
+            saveEveryS = if (n % 4 == 0) 0.0 else 5.0,
+        ).copy(expectS = 4.0 + r.nextInt(8), saveS = 1.0)
+        c.specs[spec.id] = spec
+        c.rules.submitted(spec)
+        User(c, spec, cancels = n % 7 == 2)
+    }
+
+    /** The troubles of one seed, between 20 and 110 s. */
+    private fun trouble(c: Cluster, kind: String) {
+        val r = c.loop.random
+        fun at(s: Double, run: () -> Unit) = c.loop.after((s * SimLoop.SECOND).toLong(), run)
+        fun during(from: Double, length: Double, set: (Boolean) -> Unit) {
+            at(from) { set(true) }
+            at(from + length) { set(false) }
+        }
+        if ("kill" in kind) for (k in 0 until 5) at(20.0 + 15 * k) { c.kill(r.nextInt(3), if (k % 2 == 0) 0.3 else 3.0) }
+        if ("all" in kind) at(45.0) { for (i in 0..2) c.kill(i, 2.0) }
+        if ("outage" in kind) during(35.0, 14.0) { c.state.outage = it }
+        if ("cut" in kind) {
+            during(30.0, 15.0) { c.stateWire[r.nextInt(3).let { 0 }].cut = it }
+            during(60.0, 12.0) { c.workerWire[1].cut = it }
+        }
+        if ("lost" in kind) for (w in c.stateWire) during(15.0, 90.0) { on -> w.loseAnswer = if (on) 0.05 else 0.0; w.late = if (on) 0.05 else 0.0 }
+        if ("hang" in kind) for (k in 0 until 4) {
+            at(25.0 + 18 * k) {
+                val w = c.cloud.machines.values.toList().randomOrNull(r) ?: return@at
+                w.hangs = true
+                at(10.0 + 4 * k) { w.hangs = false }
+            }
+        }
+        if ("taken" in kind) for (k in 0 until 4) at(28.0 + 16 * k) { c.cloud.machines.values.toList().randomOrNull(r)?.die() }
+        if ("sick" in kind) at(22.0) { c.cloud.machines.values.firstOrNull()?.sick = true }
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+        "1, quiet", "2, kill", "3, kill+lost", "4, all+outage", "5, outage+kill", "6, cut", "7, cut+lost+kill", "8, hang",
+        "9, hang+taken+kill", "10, taken+sick", "11, all+lost+hang", "12, outage+cut+kill+lost+hang+taken+sick",
+    )
+    fun `every rule holds and every job ends`(seed: Int, kind: String) {
+        val c = Cluster(seed)
+        for (i in 0..2) c.boot(i)
+        val users = jobs(c)
+        for ((n, u) in users.withIndex()) c.loop.after((2 + 5L * n) * SimLoop.SECOND, u::submit)
+        trouble(c, kind)
+        fun watch() {
+            c.state.expire()
+            c.cloud.note()
+            c.rules.check(c.loop.nowS)
+            c.loop.after(200 * SimLoop.MS, ::watch)
+        }
+        watch()
+        c.loop.runUntil(END_S)
+        assertEquals(emptyList<String>(), c.rules.broken)
+        assertEquals(emptyList<String>(), users.filter { c.rules.told(it.spec.id) !in Rules.FINAL }.map { it.spec.id + " " + c.rules.told(it.spec.id) })
+        assertTrue(c.rules.starts >= users.size / 2, "${c.rules.starts} starts")
+    }
+
+    private companion object {
+        const val CANCEL_S = 20.0
+        const val END_S = 400.0
+    }
+}
