--- a/src/main/kotlin/flaxfield/arrays/Placement.kt
+++ b/src/main/kotlin/flaxfield/arrays/Placement.kt
@@ -65,20 +65,16 @@
      * The part of a team's limit that its arrays leave free: what its waiting gangs need, or its latest
      * one's need for the next. Arrays that filled the limit made the team's gangs wait for minutes.
      */
-    fun ofLimit(team: String): Room =
-        waiting[team] ?: gangs[team]?.let { it.spec.need * it.spec.shards } ?: Room.NONE
+    fun ofLimit(team: String): Room = waiting[team] ?: gangs[team]?.let { it.spec.need * it.spec.shards } ?: Room.NONE
 
     /** Whether machines of this kind may be rented for tasks of [spec]. */
-    fun rents(spec: JobSpec, flavor: String, lendable: Boolean): Boolean =
-        lendable || !spec.lendable || flavor !in untilMs
+    fun rents(spec: JobSpec, flavor: String, lendable: Boolean): Boolean = lendable || !spec.lendable || flavor !in untilMs
 
     /** Whether tasks of [spec] are on a machine of this kind only until it is needed, or returned. */
-    fun guests(spec: JobSpec, flavor: String, lendable: Boolean): Boolean =
-        spec.saveEveryS > 0.0 && !rents(spec, flavor, lendable)
+    fun guests(spec: JobSpec, flavor: String, lendable: Boolean): Boolean = spec.saveEveryS > 0.0 && !rents(spec, flavor, lendable)
 
     /** Whether tasks of [spec] may fill such a machine while it is free: those that save are cheap to evict. */
-    fun fills(spec: JobSpec, flavor: String, lendable: Boolean): Boolean =
-        spec.saveEveryS > 0.0 || rents(spec, flavor, lendable)
+    fun fills(spec: JobSpec, flavor: String, lendable: Boolean): Boolean = spec.saveEveryS > 0.0 || rents(spec, flavor, lendable)
 }
 
 /** Pure: which of a part's machines take which tasks of an array. */
@@ -92,7 +88,8 @@
         val spec = job.spec
         val fit = seats.filter {
             ZoneRule.kindAllowed(spec, it.machine.flavor, it.machine.site, it.machine.lendable) &&
-                it.machine.name !in job.errorHosts && it.free.holds(spec.need)
+                it.machine.name !in job.errorHosts &&
+                it.free.holds(spec.need)
         }.sortedWith(order(spec))
         if (fit.isEmpty()) return emptyMap()
         val result = LinkedHashMap<Int, Seat>()
--- a/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
@@ -288,7 +288,13 @@
         val packing = FleetRules.pack(demands(), bins, w.flavors, MOST_NEW, hub.reserved::rents) { o ->
             val r = refused[o]
             val f = w.flavors[o.flavor]
-            if (f == null || r != null && now < r.untilNs) null else if (o.lendable) f.lowRate else f.rate
+            if (f == null || r != null && now < r.untilNs) {
+                null
+            } else if (o.lendable) {
+                f.lowRate
+            } else {
+                f.rate
+            }
         }
         // While arrays wait for room, those that fill a machine nobody else needs are worth its price.
         val backlog = w.jobs.values.any { !it.isGang && !it.cancelled && it.pendingCount > 0 && it.retryAtMs <= hub.nowMs }
@@ -314,7 +320,17 @@
         val h = Hire("${hub.me.name}-${hub.me.incarnation}-${++hireCount}", offer.flavor, offer.site, offer.lendable, n, hub.nowMs, 0uL)
         val conditions = Settlement.fence(hub) + (Keys.HIRE + h.name to 0uL)
         val sent = hub.commit(Cause.FLEET, Txn(conditions, listOf(Change.Put(Keys.HIRE + h.name, FleetCodec.encode(h)))))
-        if (sent) log.info("hire={} flavor={} site={} lendable={} count={} term={} wanted", h.name, h.flavor, h.site, h.lendable, n, hub.term())
+        if (sent) {
+            log.info(
+                "hire={} flavor={} site={} lendable={} count={} term={} wanted",
+                h.name,
+                h.flavor,
+                h.site,
+                h.lendable,
+                n,
+                hub.term(),
+            )
+        }
     }
 
     private fun demands(): List<Demand> {
--- a/src/main/kotlin/flaxfield/fleet/FleetRules.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetRules.kt
@@ -77,7 +77,10 @@
     }
 
     private fun takes(bin: Bin, spec: JobSpec, rule: ZoneRule, suits: Suits): Boolean =
-        ZoneRule.kindAllowed(spec, bin.flavor, bin.site, bin.lendable) && suits(spec, bin.flavor, bin.lendable) && bin.free.holds(spec.need) && rule.allows(bin.site)
+        ZoneRule.kindAllowed(spec, bin.flavor, bin.site, bin.lendable) &&
+            suits(spec, bin.flavor, bin.lendable) &&
+            bin.free.holds(spec.need) &&
+            rule.allows(bin.site)
 
     /** The offer with the lowest price per task that it will really run. */
     private fun best(
@@ -89,7 +92,13 @@
         price: (Offer) -> Double?,
     ): Offer? {
         val spec = demand.spec
-        val kinds = if (!spec.lendable) listOf(false) else if (demand.pressing) listOf(true, false) else listOf(true)
+        val kinds = if (!spec.lendable) {
+            listOf(false)
+        } else if (demand.pressing) {
+            listOf(true, false)
+        } else {
+            listOf(true)
+        }
         var best: Offer? = null
         var least = Double.MAX_VALUE
         for (f in flavors.values) {
--- a/src/main/kotlin/flaxfield/fleet/Machine.kt
+++ b/src/main/kotlin/flaxfield/fleet/Machine.kt
@@ -74,7 +74,11 @@
     )
 
     fun encode(h: Hire): Map<String, Any?> = mapOf(
-        "flavor" to h.flavor, "site" to h.site, "lendable" to h.lendable, "count" to h.count, "at" to h.sinceMs,
+        "flavor" to h.flavor,
+        "site" to h.site,
+        "lendable" to h.lendable,
+        "count" to h.count,
+        "at" to h.sinceMs,
     )
 
     fun hire(o: Obj, key: String, stamp: ULong) = Hire(
--- a/src/main/kotlin/flaxfield/gangs/GangDesk.kt
+++ b/src/main/kotlin/flaxfield/gangs/GangDesk.kt
@@ -50,8 +50,14 @@
         for ((id, machines) in claims) claimed(id, machines, use, term)
         claiming.values.removeIf { hosts -> hosts.none { hub.isBusy(Keys.HOST + it) } }
         val waiting = gangs.filter {
-            it.placedCount == 0 && !it.complete && !it.cancelled && it.retryAtMs <= hub.nowMs && it.id !in claims && it.id !in claiming &&
-                !hub.isBusy(Keys.JOB + it.id) && GangRound.gate(it)
+            it.placedCount == 0 &&
+                !it.complete &&
+                !it.cancelled &&
+                it.retryAtMs <= hub.nowMs &&
+                it.id !in claims &&
+                it.id !in claiming &&
+                !hub.isBusy(Keys.JOB + it.id) &&
+                GangRound.gate(it)
         }
         parked.keys.retainAll(waiting.mapTo(HashSet()) { it.id })
         if (waiting.isEmpty()) return
@@ -224,7 +230,6 @@
         if (times == 1) log.info("job={} parked: {}", job.id, why) else log.debug("job={} parked: {}", job.id, why)
     }
 
-
     private companion object {
         val log = LoggerFactory.getLogger("flaxfield.gangs")
         const val NS = 1e9
--- a/src/main/kotlin/flaxfield/gangs/GangRound.kt
+++ b/src/main/kotlin/flaxfield/gangs/GangRound.kt
@@ -29,7 +29,8 @@
         val spec = job.spec
         val fit = seats.filter {
             ZoneRule.kindAllowed(spec, it.machine.flavor, it.machine.site, it.machine.lendable) &&
-                it.machine.name !in job.errorHosts && it.free.holds(spec.need)
+                it.machine.name !in job.errorHosts &&
+                it.free.holds(spec.need)
         }
         if (!spec.samePlace) return oneRound(job, fit)
         var best = Round.Short(0, spec.shards)
--- a/src/main/kotlin/flaxfield/jobs/Job.kt
+++ b/src/main/kotlin/flaxfield/jobs/Job.kt
@@ -16,8 +16,7 @@
     operator fun times(n: Int) = Room(cpus * n, gpus * n, ram * n)
 
     /** Whether a task of size [need] fits in here. */
-    fun holds(need: Room): Boolean =
-        cpus + EPSILON >= need.cpus && gpus + EPSILON >= need.gpus && ram + EPSILON >= need.ram
+    fun holds(need: Room): Boolean = cpus + EPSILON >= need.cpus && gpus + EPSILON >= need.gpus && ram + EPSILON >= need.ram
 
     /** How many tasks of size [need] fit in here. */
     fun count(need: Room): Int = minOf(parts(cpus, need.cpus), parts(gpus, need.gpus), parts(ram, need.ram))
--- a/src/main/kotlin/flaxfield/jobs/JobDesk.kt
+++ b/src/main/kotlin/flaxfield/jobs/JobDesk.kt
@@ -54,7 +54,13 @@
                 is Outcome.Committed -> {
                     log.info(
                         "job={} class={} owner={} tasks={} bundle={} pull_gb={} expect_s={} accepted",
-                        spec.id, spec.jobClass, spec.owner, spec.shards, spec.bundle, spec.pullGb, spec.expectS,
+                        spec.id,
+                        spec.jobClass,
+                        spec.owner,
+                        spec.shards,
+                        spec.bundle,
+                        spec.pullGb,
+                        spec.expectS,
                     )
                     answer(reply, 201, mapOf("id" to spec.id, "phase" to "pending"))
                 }
@@ -211,8 +217,7 @@
     }
 
     /** Kept fresh by renewals: several of them in a row without an answer mean an outage or being refused. */
-    private fun stateSeemsAway(): Boolean =
-        hub.nowNs - hub.stateOkNs > hub.settings.workers.leaseS * AWAY_SHARE * NS_PER_S
+    private fun stateSeemsAway(): Boolean = hub.nowNs - hub.stateOkNs > hub.settings.workers.leaseS * AWAY_SHARE * NS_PER_S
 
     private fun later(reply: Reply, why: String) = reply.send(503, encode(mapOf("error" to why)), RETRY_AFTER_S)
 
--- a/src/main/kotlin/flaxfield/net/HttpClient.kt
+++ b/src/main/kotlin/flaxfield/net/HttpClient.kt
@@ -43,13 +43,7 @@
     private val waitingMost: Int = most * WAITING_PER_CONNECTION,
     private val maxAnswer: Int = MAX_ANSWER,
 ) : Calls {
-    private class Call(
-        val method: String,
-        val path: String,
-        val body: ByteArray?,
-        val timeoutMs: Long,
-        val done: (Answer?) -> Unit,
-    ) {
+    private class Call(val method: String, val path: String, val body: ByteArray?, val timeoutMs: Long, val done: (Answer?) -> Unit) {
         var over = false
         var timer: ScheduledFuture<*>? = null
         var line: Line? = null
--- a/src/main/kotlin/flaxfield/node/Controller.kt
+++ b/src/main/kotlin/flaxfield/node/Controller.kt
@@ -139,7 +139,12 @@
     private fun peer(c: Command.Peer) {
         when (val m = c.message) {
             is PeerMessage.Pulse -> peers.pulse(m)
-            is PeerMessage.Relay -> workers.relayed(m.report, Reply { status, body, _ -> c.answer(PeerMessage.Relayed(m.id, status, body.bytes)) })
+            is PeerMessage.Relay -> workers.relayed(
+                m.report,
+                Reply { status, body, _ ->
+                    c.answer(PeerMessage.Relayed(m.id, status, body.bytes))
+                },
+            )
             is PeerMessage.Relayed -> Unit
         }
     }
--- a/src/main/kotlin/flaxfield/peers/PeerDesk.kt
+++ b/src/main/kotlin/flaxfield/peers/PeerDesk.kt
@@ -35,8 +35,7 @@
     }
 
     /** Whether some peer has the state service's ear now. */
-    fun stateOkElsewhere(): Boolean =
-        stateOkElsewhereNs.values.any { hub.nowNs - it < hub.settings.workers.reportS * FRESH_REPORTS * NS }
+    fun stateOkElsewhere(): Boolean = stateOkElsewhereNs.values.any { hub.nowNs - it < hub.settings.workers.reportS * FRESH_REPORTS * NS }
 
     fun tick() {
         val now = hub.nowNs
--- a/src/main/kotlin/flaxfield/peers/PeerLink.kt
+++ b/src/main/kotlin/flaxfield/peers/PeerLink.kt
@@ -108,11 +108,7 @@
 }
 
 /** One outgoing connection to a peer, opened when needed; what can't be sent at once is dropped. */
-class PeerClient(
-    private val loop: EventLoopGroup,
-    private val address: Address,
-    private val onMessage: (PeerMessage) -> Unit,
-) : PeerLine {
+class PeerClient(private val loop: EventLoopGroup, private val address: Address, private val onMessage: (PeerMessage) -> Unit) : PeerLine {
     private var channel: Channel? = null
     private var connecting = false
 
@@ -155,9 +151,7 @@
     }
 }
 
-private class FrameReader(
-    private val onMessage: (PeerMessage, (PeerMessage) -> Unit) -> Unit,
-) : ChannelInboundHandlerAdapter() {
+private class FrameReader(private val onMessage: (PeerMessage, (PeerMessage) -> Unit) -> Unit) : ChannelInboundHandlerAdapter() {
     private val input = Buffer()
 
     override fun channelRead(ctx: ChannelHandlerContext, msg: Any) {
--- a/src/main/kotlin/flaxfield/quota/Quota.kt
+++ b/src/main/kotlin/flaxfield/quota/Quota.kt
@@ -36,7 +36,8 @@
     fun borrows(team: String): Boolean {
         val t = teams[team] ?: return true
         val u = of(team)
-        return (u.cpus > t.cpus + EPSILON && t.cpus > 0) || (u.gpus > t.gpus + EPSILON && t.gpus > 0) ||
+        return (u.cpus > t.cpus + EPSILON && t.cpus > 0) ||
+            (u.gpus > t.gpus + EPSILON && t.gpus > 0) ||
             (t.cpus <= 0.0 && t.gpus <= 0.0)
     }
 
@@ -77,9 +78,8 @@
     )
 
     /** Whether [job] may take the place of a task of [other] ("Preemption" in PROTOCOL-flaxfield.md). */
-    fun mayPreempt(job: Job, jobGuaranteed: Boolean, other: Job, use: TeamUse): Boolean =
-        job.spec.urgency > other.spec.urgency ||
-            (jobGuaranteed && other.spec.owner != job.spec.owner && use.borrows(other.spec.owner))
+    fun mayPreempt(job: Job, jobGuaranteed: Boolean, other: Job, use: TeamUse): Boolean = job.spec.urgency > other.spec.urgency ||
+        (jobGuaranteed && other.spec.owner != job.spec.owner && use.borrows(other.spec.owner))
 
     private const val EPSILON = 1e-6
 }
--- a/src/main/kotlin/flaxfield/settings/Properties.kt
+++ b/src/main/kotlin/flaxfield/settings/Properties.kt
@@ -51,8 +51,7 @@
             value.toDoubleOrNull()?.takeIf { it in least..most }
                 ?: throw MalformedException("property '$key': '$value' is not a number from $least to $most")
 
-        private fun whole(key: String, value: String, least: Int, most: Int): Int =
-            value.toIntOrNull()?.takeIf { it in least..most }
-                ?: throw MalformedException("property '$key': '$value' is not a whole number from $least to $most")
+        private fun whole(key: String, value: String, least: Int, most: Int): Int = value.toIntOrNull()?.takeIf { it in least..most }
+            ?: throw MalformedException("property '$key': '$value' is not a whole number from $least to $most")
     }
 }
--- a/src/main/kotlin/flaxfield/settings/Settings.kt
+++ b/src/main/kotlin/flaxfield/settings/Settings.kt
@@ -34,13 +34,7 @@
 data class Objective(val kind: String, val jobClass: String, val withinS: Double, val share: Double)
 
 /** Figures of the workers' protocol. */
-data class WorkerTimes(
-    val reportS: Double,
-    val leaseS: Double,
-    val gangWaitS: Double,
-    val gangPeerS: Double,
-    val cancelS: Double,
-)
+data class WorkerTimes(val reportS: Double, val leaseS: Double, val gangWaitS: Double, val gangPeerS: Double, val cancelS: Double)
 
 /** Limits of the state service. */
 data class StateLimits(val rps: Double, val writeRps: Double, val valueKb: Double, val txnOps: Int)
--- a/src/main/kotlin/flaxfield/store/StoreClient.kt
+++ b/src/main/kotlin/flaxfield/store/StoreClient.kt
@@ -55,11 +55,7 @@
 }
 
 /** Speaks the state service's protocol. Callbacks run on the event loop. */
-class StoreClient(
-    private val calls: Calls,
-    private val watch: Calls,
-    private val timeoutMs: Long,
-) {
+class StoreClient(private val calls: Calls, private val watch: Calls, private val timeoutMs: Long) {
     fun txn(txn: Txn, done: (Outcome) -> Unit) {
         val body = Wire.encode(
             mapOf(
--- a/src/main/kotlin/flaxfield/store/World.kt
+++ b/src/main/kotlin/flaxfield/store/World.kt
@@ -4,8 +4,8 @@
 import flaxfield.arrays.RoomCodec
 import flaxfield.arrays.RoomSummary
 import flaxfield.codec.Obj
-import flaxfield.fleet.FleetCodec
 import flaxfield.fleet.Flavor
+import flaxfield.fleet.FleetCodec
 import flaxfield.fleet.Hire
 import flaxfield.fleet.Machine
 import flaxfield.jobs.Chunk
--- a/src/main/kotlin/flaxfield/workers/HostBook.kt
+++ b/src/main/kotlin/flaxfield/workers/HostBook.kt
@@ -28,6 +28,5 @@
         if (images.isEmpty()) for (i in room.images) images[i] = 0.0
     }
 
-    fun room(state: HostState): HostRoom =
-        HostRoom(state, report?.tenure ?: 0uL, report?.address.orEmpty(), images.keys.toList())
+    fun room(state: HostState): HostRoom = HostRoom(state, report?.tenure ?: 0uL, report?.address.orEmpty(), images.keys.toList())
 }
--- a/src/main/kotlin/flaxfield/workers/Orders.kt
+++ b/src/main/kotlin/flaxfield/workers/Orders.kt
@@ -79,8 +79,7 @@
     }
 
     /** Enough for the task to save, if it can at all. */
-    private fun windDown(job: Job): Double =
-        if (job.spec.saveEveryS > 0.0) job.spec.saveS * SAVE_MARGIN else 0.0
+    private fun windDown(job: Job): Double = if (job.spec.saveEveryS > 0.0) job.spec.saveS * SAVE_MARGIN else 0.0
 
     /** Saving may take a little longer than its owner says. */
     private const val SAVE_MARGIN = 1.5
--- a/src/main/kotlin/flaxfield/workers/Report.kt
+++ b/src/main/kotlin/flaxfield/workers/Report.kt
@@ -9,13 +9,7 @@
 /** Why a task ended, as its worker says. */
 enum class EndCause { DONE, STOPPED, MATES_GONE, INCOMPLETE, ERROR, NO_ROOM, IN_USE, UNKNOWN }
 
-data class ReportedTask(
-    val job: String,
-    val index: Int,
-    val attempt: ULong,
-    val state: TaskState,
-    val cause: EndCause?,
-)
+data class ReportedTask(val job: String, val index: Int, val attempt: ULong, val state: TaskState, val cause: EndCause?)
 
 /** What a worker says of itself at one moment; (`tenure`, `tally`) orders the moments. */
 data class Report(
@@ -30,8 +24,7 @@
     val warningS: Double?,
     val tasks: List<ReportedTask>,
 ) {
-    fun newerThan(tenure: ULong, tally: ULong): Boolean =
-        this.tenure > tenure || (this.tenure == tenure && this.tally > tally)
+    fun newerThan(tenure: ULong, tally: ULong): Boolean = this.tenure > tenure || (this.tenure == tenure && this.tally > tally)
 }
 
 /** A command to a worker. */
@@ -42,12 +35,7 @@
 
     data class Launch(override val job: String, override val index: Int, override val attempt: ULong) : Order
 
-    data class Halt(
-        override val job: String,
-        override val index: Int,
-        override val attempt: ULong,
-        val windDownS: Double,
-    ) : Order
+    data class Halt(override val job: String, override val index: Int, override val attempt: ULong, val windDownS: Double) : Order
 
     data class Clear(override val job: String, override val index: Int, override val attempt: ULong) : Order
 }
@@ -97,8 +85,7 @@
         return ReportedTask(job, index, o.needCount("try"), state, cause)
     }
 
-    fun encode(epoch: ULong, orders: List<Order>): Map<String, Any?> =
-        mapOf("epoch" to epoch, "orders" to orders.map(::order))
+    fun encode(epoch: ULong, orders: List<Order>): Map<String, Any?> = mapOf("epoch" to epoch, "orders" to orders.map(::order))
 
     fun encodeDirect(epoch: ULong, tenure: ULong, orders: List<Order>): Map<String, Any?> =
         encode(epoch, orders) + mapOf("tenure" to tenure)
--- a/src/main/kotlin/flaxfield/workers/WorkerDesk.kt
+++ b/src/main/kotlin/flaxfield/workers/WorkerDesk.kt
@@ -19,12 +19,7 @@
 import org.slf4j.LoggerFactory
 
 /** Workers' reports, their orders, and what can be told of machines that do not report. */
-class WorkerDesk(
-    private val hub: Hub,
-    private val settlement: Settlement,
-    private val peers: PeerDesk,
-    private val direct: DirectOrders,
-) {
+class WorkerDesk(private val hub: Hub, private val settlement: Settlement, private val peers: PeerDesk, private val direct: DirectOrders) {
     private val books = HashMap<String, HostBook>()
 
     /** Hosts whose keys have been dropped: names are never used again, so late news of them is ignored. */
@@ -82,7 +77,13 @@
             return keepAlive(report.epoch, reply)
         }
         val owner = hub.world.assignment?.owner(report.host, report.site)
-        if (owner != null && owner != hub.me.name) steward(owner, reply) else reply.send(421, Body(Wire.encode(emptyMap()), Body.CBOR), null)
+        if (owner != null &&
+            owner != hub.me.name
+        ) {
+            steward(owner, reply)
+        } else {
+            reply.send(421, Body(Wire.encode(emptyMap()), Body.CBOR), null)
+        }
     }
 
     private fun stateAway() = hub.nowNs - hub.stateOkNs > hub.settings.workers.leaseS * AWAY_SHARE * NS
@@ -90,8 +91,7 @@
     private fun keepAlive(epoch: ULong, reply: Reply) =
         reply.send(200, Body(Wire.encode(ReportCodec.encode(epoch, emptyList())), Body.CBOR), null)
 
-    private fun steward(owner: String?, reply: Reply) =
-        reply.send(421, Body(Wire.encode(mapOf("steward" to owner)), Body.CBOR), null)
+    private fun steward(owner: String?, reply: Reply) = reply.send(421, Body(Wire.encode(mapOf("steward" to owner)), Body.CBOR), null)
 
     private fun own(report: Report, book: HostBook, term: ULong, reply: Reply) {
         // Our lease may be over while others already act under a newer term: no orders, and not for ever.
@@ -132,7 +132,14 @@
         val key = Keys.HOST + report.host
         if (report.host in gone || hub.isBusy(key)) return
         val machine = Machine(
-            report.host, report.flavor, report.site, report.lendable, MachinePhase.UP, hub.nowMs, null, 0uL,
+            report.host,
+            report.flavor,
+            report.site,
+            report.lendable,
+            MachinePhase.UP,
+            hub.nowMs,
+            null,
+            0uL,
         )
         val conditions = Settlement.fence(hub) + (key to 0uL)
         hub.commit(Cause.FLEET, Txn(conditions, listOf(Change.Put(key, FleetCodec.encode(machine)))))
@@ -153,7 +160,11 @@
     private fun changes(last: Report?, now: Report) {
         for (t in now.tasks) {
             val before = last?.tasks?.firstOrNull { it.job == t.job && it.index == t.index && it.attempt == t.attempt }
-            if (before?.state != t.state) log.debug("job={} task={} attempt={} host={} state={} cause={}", t.job, t.index, t.attempt, now.host, t.state, t.cause)
+            if (before?.state !=
+                t.state
+            ) {
+                log.debug("job={} task={} attempt={} host={} state={} cause={}", t.job, t.index, t.attempt, now.host, t.state, t.cause)
+            }
         }
     }
 
@@ -214,7 +225,13 @@
         val report = book?.report
         return when {
             book?.faulty != null -> HostState.FAULTY
-            report == null || book.reportNs < ownerSinceNs -> if (silent(ownerSinceNs) && expected(host)) HostState.SILENT else HostState.UNSEEN
+            report == null || book.reportNs < ownerSinceNs -> if (silent(ownerSinceNs) &&
+                expected(host)
+            ) {
+                HostState.SILENT
+            } else {
+                HostState.UNSEEN
+            }
             silent(book.reportNs) -> HostState.SILENT
             report.warningS != null -> HostState.NOTICE
             else -> HostState.OK
@@ -222,9 +239,8 @@
     }
 
     /** It has reported before, to us or to an earlier owner, or carries tasks: its silence means something. */
-    private fun expected(host: String): Boolean =
-        books[host]?.report != null || hub.world.on(host).isNotEmpty() ||
-            hub.world.rooms.values.any { r -> r.hosts[host]?.let { it.tenure > 0uL } ?: false }
+    private fun expected(host: String): Boolean = books[host]?.report != null || hub.world.on(host).isNotEmpty() ||
+        hub.world.rooms.values.any { r -> r.hosts[host]?.let { it.tenure > 0uL } ?: false }
 
     private fun silent(sinceNs: Long): Boolean {
         val lease = hub.settings.workers.leaseS * NS
