Owners balanced over zones, rentals written down whole, one waking a batch

Rentals of more machines than one write takes were written in part and their hires stood for ever as machines still to come. Each answer woke the network thread by itself; any ended array task woke all parked gangs (6.4 s of a leader's 18 s by 182 s). Changed: a zone's controllers own no more than their share of its machines; an answered hire is written some machines at a time; sends are handed over once a batch; gangs wake for room of their own kind; the log tells time by duty and changes by cause once a minute; a whole zone silent is given three leases. Ruled out: garbage collection (250 ms in 150 s), heap (8 to 23 MB of 56).

--- a/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
@@ -12,7 +12,6 @@
 import flaxfield.store.Cause
 import flaxfield.store.Change
 import flaxfield.store.Keys
-import flaxfield.store.Outcome
 import flaxfield.store.Txn
 import org.slf4j.LoggerFactory
 
@@ -33,6 +32,9 @@
     private var returnOpen = false
     private var hireCount = 0
     private val asking = HashMap<String, Long>()
+
+    /** Hires that have a clear answer, until it is written down. */
+    private val granted = HashMap<String, List<String>>()
     private val refused = HashMap<Offer, Refusal>()
     private val idleSinceNs = HashMap<String, Long>()
     private val unknownSinceNs = HashMap<String, Long>()
@@ -72,6 +74,7 @@
         idleSinceNs.clear()
         unknownSinceNs.clear()
         asking.clear()
+        granted.clear()
         nextListNs = 0
         nextFlavorsNs = 0
     }
@@ -108,8 +111,13 @@
     /** Sends each written hire until it has a clear answer. */
     private fun askHires() {
         asking.keys.retainAll(hub.world.hires.keys)
-        for (h in hub.world.hires.values) {
+        granted.keys.retainAll(hub.world.hires.keys)
+        for (h in hub.world.hires.values.toList()) {
             if (hub.isBusy(Keys.HIRE + h.name)) continue
+            if (h.name in granted) {
+                record(h)
+                continue
+            }
             if (hub.nowNs < (asking[h.name] ?: 0L)) continue
             if (!cloudAllows()) return
             asking[h.name] = Long.MAX_VALUE
@@ -126,20 +134,29 @@
             is Rented.NoCapacity, is Rented.Malformed -> refuse(offer)
             is Rented.Hosts -> if (r.names.size < h.count) refuse(offer) else refused.remove(offer)
         }
-        if (!hub.leads() || hub.world.hires[h.name] == null) return
-        val names = (r as? Rented.Hosts)?.names.orEmpty().filter { it !in hub.world.machines }
+        // A clear answer is not asked for again while it is being written down.
+        granted[h.name] = (r as? Rented.Hosts)?.names.orEmpty()
+        if (hub.leads()) hub.world.hires[h.name]?.let(::record)
+    }
+
+    /**
+     * Writes down the machines of an answered hire, some at a time. A rental of more than one transaction
+     * takes was written in part, and its hire stood for ever as machines still to come.
+     */
+    private fun record(h: Hire) {
+        val names = granted[h.name].orEmpty()
+        if (names.any { hub.isBusy(Keys.HOST + it) }) return
+        val left = names.filter { it !in hub.world.machines }
         // The hire is dropped with the last of its hosts, so that none is forgotten in between.
-        val room = hub.settings.stateLimits.txnOps - 1
-        val now = hub.nowMs
-        val changes = names.take(room).map {
-            val m = Machine(it, h.flavor, h.site, h.lendable, MachinePhase.UP, now, null, 0uL)
+        val room = hub.budget.bulk(hub.settings.stateLimits.txnOps - 1)
+        val some = left.take(room)
+        val changes = some.map {
+            val m = Machine(it, h.flavor, h.site, h.lendable, MachinePhase.UP, hub.nowMs, null, 0uL)
             Change.Put(Keys.HOST + it, FleetCodec.encode(m))
         }
-        val last = if (names.size <= room) listOf(Change.Drop(Keys.HIRE + h.name)) else emptyList()
-        val conditions = Settlement.fence(hub) + (Keys.HIRE + h.name to h.stamp)
-        // A clear answer is not asked for again while it is being written down.
-        val sent = hub.commit(Cause.FLEET, Txn(conditions, changes + last)) { if (it !is Outcome.Committed) asking[h.name] = 0L }
-        if (sent) asking[h.name] = Long.MAX_VALUE
+        val last = if (left.size <= room) listOf(Change.Drop(Keys.HIRE + h.name)) else emptyList()
+        val conditions = Settlement.fence(hub) + (Keys.HIRE + h.name to h.stamp) + some.associate { Keys.HOST + it to 0uL }
+        hub.commit(Cause.FLEET, Txn(conditions, changes + last))
     }
 
     private fun refuse(offer: Offer) {
@@ -214,7 +231,7 @@
             }
             if (records.isEmpty()) empty += m
         }
-        for (some in empty.chunked(hub.settings.stateLimits.txnOps)) {
+        for (some in empty.chunked(hub.budget.bulk(hub.settings.stateLimits.txnOps))) {
             val conditions = Settlement.fence(hub) + some.associate { Keys.HOST + it.name to it.stamp }
             hub.commit(Cause.FLEET, Txn(conditions, some.map { Change.Drop(Keys.HOST + it.name) }))
         }
@@ -229,7 +246,7 @@
             val why = reasonToRetire(m) ?: continue
             val phase = if (why == SURPLUS) MachinePhase.DRAINING else MachinePhase.RETIRING
             if (phase == m.phase) continue
-            if (changes.size >= hub.settings.stateLimits.txnOps) break
+            if (changes.size >= hub.budget.bulk(hub.settings.stateLimits.txnOps)) break
             conditions[Keys.HOST + m.name] = m.stamp
             changes += Change.Put(Keys.HOST + m.name, FleetCodec.encode(m.copy(phase = phase, claim = null)))
             log.info("host={} flavor={} term={} {} to be returned: {}", m.name, m.flavor, hub.term(), phase, why)
@@ -287,7 +304,8 @@
         }
         for (h in w.hires.values) {
             val room = w.flavors[h.flavor]?.room ?: continue
-            repeat(h.count) { bins += Bin(null, h.flavor, h.site, h.lendable, room) }
+            val coming = granted[h.name]?.count { it !in w.machines } ?: h.count
+            repeat(coming) { bins += Bin(null, h.flavor, h.site, h.lendable, room) }
         }
         // Machines that save a booting one come first: cheap kinds before ordinary ones.
         // Among the ordinary ones those with images, so that spares are kept where gangs start soonest.
@@ -410,7 +428,7 @@
         const val SURPLUS = "surplus"
         const val CLOUD_SHARE = 0.9
         const val FLAVORS_S = 60.0
-        const val PLAN_REPORTS = 0.25
+        const val PLAN_REPORTS = 0.4
         const val LIST_LAGS = 1.0
         const val REFUSED_DOUBLINGS = 3
 
--- a/src/main/kotlin/flaxfield/gangs/GangDesk.kt
+++ b/src/main/kotlin/flaxfield/gangs/GangDesk.kt
@@ -32,8 +32,8 @@
     /** Hosts whose claim for a gang is on its way: a second round meanwhile would claim, and clear, others too. */
     private val claiming = HashMap<String, List<String>>()
 
-    /** Free room seen at the last run: more of it wakes the parked. */
-    private var lastFree = 0.0
+    /** Room for tasks of parked gangs at the last run: more of it wakes them. */
+    private var lastFree = 0
 
     fun run() {
         if (!hub.leads()) {
@@ -64,8 +64,9 @@
         }
         parked.keys.retainAll(waiting.mapTo(HashSet()) { it.id })
         if (waiting.isEmpty()) return
+        wake(waiting)
+        if (waiting.all { j -> parked[j.id]?.let { hub.nowNs < it.untilNs } ?: false }) return
         val look = Look(seats(term), use, guaranteed, term)
-        wake(look.seats)
         val late = hub.nowMs - (JobOrder.BEGIN_S * GATHER_SHARE * MS).toLong()
         val gathers = Gathering.next(waiting, late)
         for (job in listOfNotNull(gathers) + JobOrder.sort(waiting, guaranteed, use, JobOrder.lateMs(hub.nowMs)).filter { it !== gathers }) {
@@ -127,8 +128,18 @@
         }
     }
 
-    private fun wake(seats: List<Seat>) {
-        val free = seats.sumOf { it.free.cpus + it.free.gpus }
+    /**
+     * More room wakes the parked, counted in tasks like theirs: any task of an array that ended, anywhere, woke
+     * them all before, and their rounds were the most that a leader spent its time on.
+     */
+    private fun wake(waiting: List<Job>) {
+        val shapes = waiting.distinctBy { listOf(it.spec.need, it.spec.flavors, it.spec.site, it.spec.lendable) }.map { it.spec }
+        var free = 0
+        for (m in hub.world.machines.values) {
+            if (m.phase != MachinePhase.UP) continue
+            val room = hub.world.free(m) ?: continue
+            free += shapes.sumOf { s -> if (room.holds(s.need) && ZoneRule.kindAllowed(s, m.flavor, m.site, m.lendable)) room.count(s.need) else 0 }
+        }
         if (free > lastFree) parked.replaceAll { _, p -> Parked(0, p.times) }
         lastFree = free
     }
--- a/src/main/kotlin/flaxfield/jobs/JobDesk.kt
+++ b/src/main/kotlin/flaxfield/jobs/JobDesk.kt
@@ -258,7 +258,7 @@
 
         /** Users wait 2 s for a poll's answer. */
         private const val CONFIRM_MS = 1_500
-        private const val CONFIRM_SHARE = 0.25
+        private const val CONFIRM_SHARE = 0.15
         private const val AWAY_SHARE = 0.25
         private const val RETRY_AFTER_S = 1
         private const val NS_PER_MS = 1_000_000L
--- a/src/main/kotlin/flaxfield/members/Members.kt
+++ b/src/main/kotlin/flaxfield/members/Members.kt
@@ -13,13 +13,21 @@
 
     /**
      * The member whose part [host] belongs to: the highest draw wins (rendezvous hashing). Members in the
-     * machine's own zone come first, so that a zone that is cut off keeps its parts.
+     * machine's own zone come first, so that a zone that is cut off keeps its parts; but where a zone has
+     * fewer members than its share of [zones], only as many of its machines as these can carry: the one
+     * controller of a zone with half of all machines spent more than its share on their reports.
      */
-    fun owner(host: String, site: String): String? {
+    fun owner(host: String, site: String, zones: Int): String? {
         val near = members.filter { it.zone == site }
-        return (near.ifEmpty { members }).maxByOrNull { mix(host, it.name) }?.name
+        val far = members.filter { it.zone != site }
+        val carried = near.size.toDouble() * zones / members.size
+        val stays = far.isEmpty() || near.isNotEmpty() && draw(host) < carried
+        return (if (stays) near else far.ifEmpty { near }).maxByOrNull { mix(host, it.name) }?.name
     }
 
+    /** Between 0 and 1, the same for a host at all times. */
+    private fun draw(host: String): Double = (mix(host, "") shr DRAW_SHIFT).toDouble() / (1uL shl (ULong.SIZE_BITS - DRAW_SHIFT)).toDouble()
+
     private fun mix(host: String, name: String): ULong {
         var h = FNV_START
         for (c in host) h = (h xor c.code.toULong()) * FNV_PRIME
@@ -32,6 +40,7 @@
     }
 
     private companion object {
+        const val DRAW_SHIFT = 40
         const val FNV_START = 0xcbf29ce484222325uL
         const val FNV_PRIME = 0x100000001b3uL
         const val FINISH_1 = 0xff51afd7ed558ccduL
--- a/src/main/kotlin/flaxfield/net/Http.kt
+++ b/src/main/kotlin/flaxfield/net/Http.kt
@@ -23,7 +23,7 @@
 import io.netty.handler.codec.http.HttpVersion
 import org.slf4j.LoggerFactory
 
-/** One request as the network thread saw it; [reply] may be used once, from any thread. */
+/** One request as the network thread saw it; [reply] may be used once, by the owner thread or the network thread. */
 class Request(val method: String, val path: String, val query: String, val body: ByteArray, val reply: Reply)
 
 /** An answer's body and its type. */
@@ -40,7 +40,7 @@
 }
 
 /** The HTTP server of `serve_on`: decodes, hands over, encodes. It decides nothing. */
-class HttpServer(private val loop: EventLoopGroup, private val onRequest: (Request) -> Unit) {
+class HttpServer(private val loop: EventLoopGroup, private val out: Outbox, private val onRequest: (Request) -> Unit) {
     fun bind(host: String, port: Int): Channel = ServerBootstrap()
         .group(loop)
         .channel(NioServerSocketChannel::class.java)
@@ -57,7 +57,7 @@
     private inner class Handler : SimpleChannelInboundHandler<FullHttpRequest>() {
         override fun channelRead0(ctx: ChannelHandlerContext, msg: FullHttpRequest) {
             val keep = HttpUtil.isKeepAlive(msg)
-            val reply = Reply { status, body, retryAfterS -> answer(ctx, keep, status, body, retryAfterS) }
+            val reply = Reply { status, body, retryAfterS -> out.add { answer(ctx, keep, status, body, retryAfterS) } }
             if (!msg.decoderResult().isSuccess) {
                 answer(ctx, false, HttpResponseStatus.BAD_REQUEST.code(), Body.EMPTY, null)
                 return
--- a/src/main/kotlin/flaxfield/net/HttpClient.kt
+++ b/src/main/kotlin/flaxfield/net/HttpClient.kt
@@ -38,6 +38,7 @@
  */
 class HttpClient(
     private val loop: EventLoopGroup,
+    private val out: Outbox,
     private val address: Address,
     private val most: Int,
     private val waitingMost: Int = most * WAITING_PER_CONNECTION,
@@ -61,7 +62,7 @@
 
     /** Sends one request; [done] is called once, on the event loop. */
     override fun send(method: String, path: String, body: ByteArray?, timeoutMs: Long, done: (Answer?) -> Unit) {
-        executor.execute { start(Call(method, path, body, timeoutMs, done)) }
+        out.add { start(Call(method, path, body, timeoutMs, done)) }
     }
 
     private fun start(call: Call) {
--- a/src/main/kotlin/flaxfield/node/Controller.kt
+++ b/src/main/kotlin/flaxfield/node/Controller.kt
@@ -80,6 +80,7 @@
     private var nextTickNs = 0L
     private var nextDecideNs = 0L
     private var decideAnywayNs = 0L
+    private var nextLoadNs = 0L
 
     fun start() = follower.start()
 
@@ -93,7 +94,9 @@
             is Command.Http -> {
                 val startNs = System.nanoTime()
                 route(c.request)
-                metrics.handled(c.request.path, System.nanoTime() - startNs)
+                val ns = System.nanoTime() - startNs
+                metrics.handled(c.request.path, ns)
+                if (c.request.path == "/hello") hub.counts.spent("reports", ns) else hub.counts.spent("users", ns)
             }
         }
     }
@@ -161,6 +164,10 @@
         duty("peers") { peers.tick() }
         duty("stalls") { stalls.tick() }
         duty("fleet") { fleet.run() }
+        if (hub.nowNs >= nextLoadNs) {
+            nextLoadNs = hub.nowNs + (LOAD_LINE_S * NS_PER_S).toLong()
+            log.info("load jobs={} machines={} own={} {}", hub.world.jobs.size, hub.world.machines.size, hub.mine().size, hub.counts.line())
+        }
     }
 
     private fun decide() {
@@ -194,12 +201,15 @@
 
         /** The owner wakes at least this often. */
         const val TICK_MS = 100L
-        private const val DECIDE_GAP_MS = 30L
+        private const val DECIDE_GAP_MS = 60L
         private const val DECIDE_ANYWAY_MS = 500L
         private const val STORE_TIMEOUT_MS = 1_500L
         private const val CLOUD_TIMEOUT_MS = 4_000L
         private const val DIRECT_TIMEOUT_MS = 2_000L
         private const val AWAY_SHARE = 0.25
+
+        /** How often a line in the log tells what the process has done so far. */
+        private const val LOAD_LINE_S = 60.0
         private const val NS_PER_MS = 1_000_000L
         private const val NS_PER_S = 1e9
     }
--- a/src/main/kotlin/flaxfield/node/Counts.kt
+++ b/src/main/kotlin/flaxfield/node/Counts.kt
@@ -2,6 +2,7 @@
 
 import flaxfield.store.Cause
 import flaxfield.store.Outcome
+import java.util.TreeMap
 
 /** What the owner thread counts; plain numbers, read by [Metrics] when it is asked. */
 class Counts {
@@ -11,7 +12,7 @@
     private var unknown = 0L
 
     /** Time the owner thread spent on each of its duties, in nanoseconds. */
-    private val spentNs = LinkedHashMap<String, Long>()
+    private val spentNs = TreeMap<String, Long>()
 
     fun written(cause: Cause, n: Int) {
         changes[cause.ordinal] += n.toLong()
@@ -30,6 +31,11 @@
         spentNs.merge(duty, ns, Long::plus)
     }
 
+    /** All figures on one line: milliseconds by duty, changes by cause. */
+    fun line(): String = spentNs.entries.joinToString(" ") { "${it.key}=${it.value / NS_PER_MS}" } +
+        Cause.entries.filter { changes[it.ordinal] > 0 }.joinToString("") { " ${it.name.lowercase()}:${changes[it.ordinal]}" } +
+        " conflict:$conflicts refused:$refusals unknown:$unknown"
+
     /** One line a figure, as `GET /metrics` shows them. */
     fun text(): String = buildString {
         for (c in Cause.entries) append("flaxfield_changes{cause=\"${c.name.lowercase()}\"} ${changes[c.ordinal]}\n")
@@ -41,5 +47,6 @@
 
     private companion object {
         const val NS = 1e9
+        const val NS_PER_MS = 1_000_000L
     }
 }
--- a/src/main/kotlin/flaxfield/node/Follower.kt
+++ b/src/main/kotlin/flaxfield/node/Follower.kt
@@ -71,6 +71,12 @@
     }
 
     private fun watched(w: Watched) {
+        val startNs = System.nanoTime()
+        take(w)
+        hub.counts.spent("view", System.nanoTime() - startNs)
+    }
+
+    private fun take(w: Watched) {
         open = false
         when (w) {
             is Watched.News -> {
@@ -106,7 +112,7 @@
         const val PAGE = 200
         const val BLOCK_MS = 10_000L
         const val RETRY_MS = 250L
-        const val FOLLOW_SHARE = 0.4
+        const val FOLLOW_SHARE = 0.25
         const val NS_PER_MS = 1_000_000L
         const val NS_PER_S = 1e9
     }
--- a/src/main/kotlin/flaxfield/node/Hub.kt
+++ b/src/main/kotlin/flaxfield/node/Hub.kt
@@ -52,7 +52,15 @@
     /** Machine types whose ordinary kind is left to jobs that can use no other. */
     val reserved = Reserved()
 
-    fun noteReserved() = reserved.note(world.jobs.values, world.flavors.values, nowMs, RESERVED_MS)
+    private var reservedAt = -1L
+    private var reservedNs = 0L
+
+    fun noteReserved() {
+        if (reservedAt == world.jobsVersion && nowNs < reservedNs) return
+        reservedAt = world.jobsVersion
+        reservedNs = nowNs + (settings.workers.reportS * NS).toLong()
+        reserved.note(world.jobs.values, world.flavors.values, nowMs, RESERVED_MS)
+    }
 
     /** When the state service last answered us with anything but an error. */
     var stateOkNs: Long = 0
@@ -109,7 +117,7 @@
             ownersTerm = assignment.term
             mineAt = -1L
         }
-        return owners.getOrPut(host) { assignment.owner(host, site) }
+        return owners.getOrPut(host) { assignment.owner(host, site, settings.zones) }
     }
 
     /** Whether [host], which lies in [site], belongs to this node's part. */
--- a/src/main/kotlin/flaxfield/node/Node.kt
+++ b/src/main/kotlin/flaxfield/node/Node.kt
@@ -3,11 +3,13 @@
 import flaxfield.net.Body
 import flaxfield.net.HttpClient
 import flaxfield.net.HttpServer
+import flaxfield.net.Outbox
 import flaxfield.net.Request
 import flaxfield.peers.PeerClient
 import flaxfield.peers.PeerServer
 import flaxfield.settings.OperatorSettings
 import flaxfield.settings.Settings
+import io.netty.channel.EventLoop
 import io.netty.channel.nio.NioEventLoopGroup
 import org.slf4j.LoggerFactory
 import java.util.concurrent.LinkedBlockingQueue
@@ -21,33 +23,37 @@
     /** Outside commands in the queue; our own follow-ups are bounded by what we have open. */
     private val outsideCommands = AtomicInteger()
     private val loop = NioEventLoopGroup(1)
+    private val out = Outbox(loop.next() as EventLoop)
     private val controller = Controller(
         settings,
         operator,
         incarnation,
         Clock.System,
         Outside(
-            state = HttpClient(loop, settings.state, STORE_CONNECTIONS, STORE_WAITING),
-            watch = HttpClient(loop, settings.state, 1, 1),
-            cloud = HttpClient(loop, settings.cloud, 2),
-            worker = { HttpClient(loop, it, 1) },
-            peer = { address, onMessage -> PeerClient(loop, address, onMessage) },
+            state = HttpClient(loop, out, settings.state, STORE_CONNECTIONS, STORE_WAITING),
+            watch = HttpClient(loop, out, settings.state, 1, 1),
+            cloud = HttpClient(loop, out, settings.cloud, 2),
+            worker = { HttpClient(loop, out, it, 1) },
+            peer = { address, onMessage -> PeerClient(loop, out, address, onMessage) },
         ),
     ) { block -> queue.add(Command.Run(block)) }
 
     /** Binds both addresses, then runs as the owner thread until the process ends. */
     fun serve(): Nothing {
-        HttpServer(loop, ::offer).bind(settings.serveOn.host, settings.serveOn.port)
+        HttpServer(loop, out, ::offer).bind(settings.serveOn.host, settings.serveOn.port)
         // Peers' messages are hints: when the owner is behind they are dropped.
         PeerServer(loop) { m, answer -> if (take()) queue.add(Command.Peer(m, answer)) }
             .bind(settings.internalAddr.host, settings.internalAddr.port)
         log.info("node={} run={} serves on {}", settings.nodeName, incarnation, settings.serveOn)
         controller.start()
+        out.flush()
         val batch = ArrayList<Command>(BATCH)
         while (true) {
             val first = queue.poll(Controller.TICK_MS, TimeUnit.MILLISECONDS)
             if (first != null) {
                 batch += first
+                // What comes in the next moments is taken along: fewer wakings of either thread.
+                if (queue.size < BATCH) Thread.sleep(LINGER_MS)
                 queue.drainTo(batch, BATCH - 1)
             }
             for (c in batch) {
@@ -56,6 +62,7 @@
             }
             batch.clear()
             controller.turn()
+            out.flush()
         }
     }
 
@@ -78,6 +85,9 @@
     private companion object {
         val log = LoggerFactory.getLogger("flaxfield.node")
         const val BATCH = 128
+
+        /** A small part of the shortest time that anyone waits for us, a user's poll or the view's next news. */
+        const val LINGER_MS = 8L
         const val STORE_CONNECTIONS = 6
         const val STORE_WAITING = 64
     }
--- a/src/main/kotlin/flaxfield/settings/Settings.kt
+++ b/src/main/kotlin/flaxfield/settings/Settings.kt
@@ -56,6 +56,8 @@
     val cloudRps: Double,
     val listLagS: Double,
     val maxSockets: Int,
+    /** How many zones the deployment's machines are in. */
+    val zones: Int = 1,
 ) {
     companion object {
         /** Reads the file at [path]; every fault becomes a one-line [MalformedException]. */
@@ -106,6 +108,7 @@
                 cloudRps = positive(cloud, "rps"),
                 listLagS = positive(cloud, "list_lag_s"),
                 maxSockets = o.needObj("deployment").obj("quota")?.int("fd_limit") ?: DEFAULT_SOCKETS,
+                zones = d.texts("zones")?.toSet()?.size?.coerceAtLeast(1) ?: 1,
             )
         }
 
--- a/src/main/kotlin/flaxfield/store/Budget.kt
+++ b/src/main/kotlin/flaxfield/store/Budget.kt
@@ -10,7 +10,9 @@
     LEASE(-1.0),
     CANCEL(-0.5),
     FINISH(0.0),
-    SUBMIT(0.0),
+
+    /** Users wait for it: it may go a little into the next moment's part. */
+    SUBMIT(-0.3),
     GANG(0.1),
     FLEET(0.15),
     ARRAY(0.2),
@@ -55,6 +57,9 @@
     private val requests = Bucket(limits.rps * SAFE_SHARE, nodes)
     private val writes = Bucket(limits.writeRps * SAFE_SHARE, nodes)
 
+    /** How many changes one bulk write may have: more at once would keep everything else waiting for seconds. */
+    fun bulk(most: Int): Int = minOf(most, (writes.rate * BULK_S).toInt().coerceAtLeast(BULK_LEAST))
+
     /** From here on the node holds itself to these parts of the two limits. */
     fun share(s: Share) {
         requests.share(s.requests)
@@ -77,6 +82,8 @@
     private companion object {
         /** A little stays unused: our clock and the service's do not tick together. */
         const val SAFE_SHARE = 0.95
+        const val BULK_S = 0.7
+        const val BULK_LEAST = 4
         const val NS = 1e9
     }
 }
--- a/src/main/kotlin/flaxfield/workers/WorkerDesk.kt
+++ b/src/main/kotlin/flaxfield/workers/WorkerDesk.kt
@@ -26,7 +26,9 @@
     private val gone = LinkedHashSet<String>()
     private var termSeen: ULong? = null
     private var ownerSinceNs = 0L
-    private var lastReportNs = 0L
+
+    /** When a machine of each zone last reported to us. */
+    private val heardNs = HashMap<String, Long>()
     private val startNs = hub.nowNs
 
     fun report(body: ByteArray, reply: Reply) {
@@ -110,7 +112,7 @@
         // answer brings the worker the epoch, and it reports again at once.
         if (report.epoch == term) {
             book.reportNs = hub.nowNs
-            lastReportNs = book.reportNs
+            heardNs[report.site] = book.reportNs
         }
         if (last == null || last.tenure != report.tenure || last.warningS == null != (report.warningS == null)) {
             log.info("host={} tenure={} warning_s={} reports to us, term={}", report.host, report.tenure, report.warningS, term)
@@ -254,9 +256,9 @@
             report == null || book.reportNs == 0L || book.reportNs < ownerSinceNs -> {
                 // A machine that just came up has told us of itself, but not yet under our term.
                 val since = maxOf(ownerSinceNs, book?.firstNs ?: 0L)
-                if (silent(since) && expected(host)) HostState.SILENT else HostState.UNSEEN
+                if (silent(host, since) && expected(host)) HostState.SILENT else HostState.UNSEEN
             }
-            silent(book.reportNs) -> HostState.SILENT
+            silent(host, book.reportNs) -> HostState.SILENT
             report.warningS != null -> HostState.NOTICE
             else -> HostState.OK
         }
@@ -267,13 +269,14 @@
         !hub.world.isEmpty(host) ||
         hub.world.lastRoom(host)?.let { it.tenure > 0uL } ?: false
 
-    private fun silent(sinceNs: Long): Boolean {
+    private fun silent(host: String, sinceNs: Long): Boolean {
         val lease = hub.settings.workers.leaseS * NS
         val quiet = hub.nowNs - sinceNs
         if (quiet < lease * SILENT_SHARE) return false
-        // If nobody reports, it is rather us who are cut off; but the last machines of a part may be lost
-        // together, and their tasks must not wait for ever: a node cut off for long has lost its own lease.
-        val heard = hub.nowNs - lastReportNs < hub.settings.workers.reportS * HEARD_REPORTS * NS
+        // If nobody of its zone reports, it is rather us who are cut off from there; but the last machines of a part
+        // may be lost together, and their tasks must not wait for ever.
+        val site = hub.world.machines[host]?.site ?: books[host]?.report?.site.orEmpty()
+        val heard = hub.nowNs - (heardNs[site] ?: 0L) < hub.settings.workers.reportS * HEARD_REPORTS * NS
         return heard || quiet > lease * SILENT_ALONE_SHARE
     }
 
@@ -348,10 +351,10 @@
         /** A worker silent for this share of its lease is taken as lost: its machine is returned. */
         const val SILENT_SHARE = 0.75
 
-        /** The same where no machine is heard at all. */
-        const val SILENT_ALONE_SHARE = 2.0
+        /** The same where no machine of its zone is heard at all: most cuts between zones are over by then. */
+        const val SILENT_ALONE_SHARE = 3.0
 
-        /** Others must have been heard within this many report intervals for a silence to count. */
+        /** Others of the zone must have been heard within this many report intervals for a silence to count. */
         const val HEARD_REPORTS = 2.0
 
         /** A worker not heard of for this many report intervals is sent the epoch. */
--- a/src/test/kotlin/flaxfield/settings/SettingsTest.kt
+++ b/src/test/kotlin/flaxfield/settings/SettingsTest.kt
@@ -27,6 +27,7 @@
         assertEquals(listOf(Peer("n-1", Address("127.0.0.1", 8082))), s.peers)
         assertEquals(Team("red", 0.0, 0.0, 2.0, 4.0), s.teams["red"])
         assertEquals(24, s.stateLimits.txnOps)
+        assertEquals(2, s.zones)
     }
 
     @Test
--- a/src/test/kotlin/flaxfield/sim/SimState.kt
+++ b/src/test/kotlin/flaxfield/sim/SimState.kt
@@ -95,6 +95,9 @@
         }
     }
 
+    /** The keys that begin with [prefix]. */
+    fun under(prefix: String): Set<String> = keys.keys.filterTo(HashSet()) { it.startsWith(prefix) }
+
     private fun txn(o: Obj): Answer {
         val puts = o.objs("apply")
         val values = puts.maxOfOrNull { Sizes.json(it.map["value"]) } ?: 0
