Machine types are asked for until the view has them; writes for upkeep; room on its way is taken

The first write of the machine types met a new assignment, and was tried again only after a minute. What is on its way counts as taken.

--- a/src/main/kotlin/flaxfield/arrays/ArrayDesk.kt
+++ b/src/main/kotlin/flaxfield/arrays/ArrayDesk.kt
@@ -24,6 +24,9 @@
     private var nextSummaryNs = 0L
     private var nextImagesNs = 0L
 
+    /** Room taken by placements of ours that the view does not show yet, by job. */
+    private val flying = HashMap<String, List<Pair<String, Room>>>()
+
     /** When a job that waits was first seen to do so, by id. */
     private val waitingSinceNs = HashMap<String, Long>()
 
@@ -86,7 +89,7 @@
 
     /** Where the leader claims a machine for a more urgent gang, tasks make way as far as the rules allow. */
     private fun evict(term: ULong) {
-        val claimed = hub.mine().filter { it.claim?.let { c -> c.evict && c.term == term } ?: false }
+        val claimed = hub.mine().filter { hub.world.claimOn(it)?.evict ?: false }
         if (claimed.isEmpty()) return
         val use = hub.use()
         val guaranteed = hub.guaranteed()
@@ -127,11 +130,12 @@
         )
         val seats = hub.mine().mapNotNull { m ->
             val free = w.free(m)?.takeIf { it.holds(least) } ?: return@mapNotNull null
-            if (!open(m, term)) return@mapNotNull null
+            if (!open(m)) return@mapNotNull null
             val book = workers.book(m.name)
             val report = book.report ?: return@mapNotNull null
             Seat(m, report.tenure, free, book.images.keys, w.isEmpty(m.name))
         }
+        assumeFlying(seats)
         if (seats.isEmpty()) return
         val use = hub.use()
         val guaranteed = hub.guaranteed()
@@ -142,6 +146,17 @@
         }
     }
 
+    /**
+     * Takes from the seats what placements on their way have taken: the view does not show them yet, and the next
+     * job was placed into the same room 60 ms later, only to be told `no_room` by the worker.
+     */
+    private fun assumeFlying(seats: List<Seat>) {
+        flying.keys.removeIf { !hub.isBusy(Keys.JOB + it) }
+        if (flying.isEmpty()) return
+        val byHost = seats.associateBy { it.machine.name }
+        for (placed in flying.values) for ((host, room) in placed) byHost[host]?.let { it.free -= room }
+    }
+
     /**
      * Parts let one another go first with a new job, in an order that its id draws: all at once, they wrote
      * the same record, and each but one wrote in vain.
@@ -156,8 +171,8 @@
         return false
     }
 
-    private fun open(m: Machine, term: ULong): Boolean = m.phase == MachinePhase.UP &&
-        m.claim?.term != term &&
+    private fun open(m: Machine): Boolean = m.phase == MachinePhase.UP &&
+        hub.world.claimOn(m) == null &&
         !hub.isBusy(Keys.HOST + m.name) &&
         workers.state(m.name) == HostState.OK
 
@@ -179,7 +194,8 @@
         val fence = if (team.limited) mapOf(fenceKey to hub.world.stamp(fenceKey)) else emptyMap()
         val bump = if (team.limited) listOf(Change.Put(fenceKey, mapOf("job" to job.id))) else emptyList()
         use.add(team.name, job.spec.need * found.size)
-        val sent = hub.commit(Cause.ARRAY, Txn(base.conditions + hosts + fence, base.changes + bump)) { outcome ->
+        val cause = if (found.size >= minOf(Settlement.FEW, job.pendingCount)) Cause.ARRAY else Cause.TRICKLE
+        val sent = hub.commit(cause, Txn(base.conditions + hosts + fence, base.changes + bump)) { outcome ->
             if (outcome is Outcome.Committed) {
                 for ((i, s) in found) {
                     log.info("job={} task={} attempt={} host={} term={} placed", job.id, i, next.placed(i)?.attempt, s.machine.name, term)
@@ -188,6 +204,7 @@
                 log.debug("job={} placement outcome={}", job.id, outcome)
             }
         }
+        if (sent) flying[job.id] = found.values.map { it.machine.name to job.spec.need }
         if (!sent) log.debug("job={} placement waits for the write budget", job.id)
     }
 
--- a/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
@@ -98,7 +98,9 @@
         cloud.flavors { got ->
             hub.post {
                 flavorsOpen = false
-                nextFlavorsNs = hub.nowNs + (if (got == null) hub.settings.workers.reportS / 2 else FLAVORS_S).times(NS).toLong()
+                // Asked again soon until the view has them: their write may meet a new assignment, and without the
+                // types no user is served. What the view has is asked for again only when it is old.
+                nextFlavorsNs = hub.nowNs + (hub.settings.workers.reportS / 2 * NS).toLong()
                 if (got != null && hub.leads()) {
                     val conditions = Settlement.fence(hub) + (Keys.TYPES to hub.world.stamp(Keys.TYPES))
                     val put = Change.Put(Keys.TYPES, FleetCodec.encodeFlavors(got.values, hub.nowMs))
@@ -240,6 +242,7 @@
     private fun retire() {
         val w = hub.world
         val changes = ArrayList<Change>()
+        val reasons = ArrayList<Triple<Machine, MachinePhase, String>>()
         val conditions = HashMap(Settlement.fence(hub))
         for (m in w.machines.values) {
             if (m.phase == MachinePhase.RETIRING || hub.isBusy(Keys.HOST + m.name)) continue
@@ -249,9 +252,12 @@
             if (changes.size >= hub.budget.bulk(hub.settings.stateLimits.txnOps)) break
             conditions[Keys.HOST + m.name] = m.stamp
             changes += Change.Put(Keys.HOST + m.name, FleetCodec.encode(m.copy(phase = phase, claim = null)))
+            reasons += Triple(m, phase, why)
+        }
+        if (changes.isEmpty() || !hub.commit(Cause.FLEET, Txn(conditions, changes))) return
+        for ((m, phase, why) in reasons) {
             log.info("host={} flavor={} term={} {} to be returned: {}", m.name, m.flavor, hub.term(), phase, why)
         }
-        if (changes.isNotEmpty()) hub.commit(Cause.FLEET, Txn(conditions, changes))
     }
 
     private fun reasonToRetire(m: Machine): String? {
@@ -277,7 +283,7 @@
                 val keep = flavor.readyS * hub.operator.keepIdleBoots
                 when {
                     m.phase == MachinePhase.DRAINING -> if (empty) "drained" else null
-                    idle == null || m.claim?.term == hub.term() || hub.nowNs - idle <= keep * NS -> null
+                    idle == null || w.claimOn(m) != null || hub.nowNs - idle <= keep * NS -> null
                     empty -> "idle"
                     else -> SURPLUS
                 }
@@ -297,7 +303,7 @@
         val now = hub.nowNs
         val term = hub.term()
         for (m in w.machines.values.sortedBy { it.name }) {
-            if (m.phase != MachinePhase.UP || m.claim?.term == term) continue
+            if (m.phase != MachinePhase.UP || w.claimOn(m) != null) continue
             val state = w.hostRoom(m.name)?.state ?: HostState.UNSEEN
             if (state != HostState.OK && state != HostState.UNSEEN) continue
             bins += Bin(m.name, m.flavor, m.site, m.lendable, roomWithoutGuests(m) ?: continue)
@@ -372,15 +378,19 @@
         val use = hub.use()
         val guaranteed = hub.guaranteed()
         val term = hub.term()
-        val claimed = w.machines.values.mapNotNullTo(HashSet()) { m -> m.claim?.takeIf { it.term == term }?.job }
+        val claimed = w.machines.values.mapNotNullTo(HashSet()) { m -> w.claimOn(m)?.job }
         val waiting = w.jobs.values.filter { it.pendingCount > 0 && !it.cancelled && it.id !in claimed && it.retryAtMs <= hub.nowMs }
         val result = ArrayList<Demand>()
+        // How fast tasks that fill cheap machines end: so fast the queue for them moves by itself.
+        val endsPerS = w.jobs.values.filter { !it.isGang && it.spec.lendable }.sumOf { it.placedCount / maxOf(1.0, it.spec.expectS) }
+        var ahead = 0
         for (j in JobOrder.sort(waiting, guaranteed, use, JobOrder.lateMs(hub.nowMs))) {
             val kept = if (j.isGang) Room.NONE else hub.reserved.ofLimit(j.spec.owner)
             val n = minOf(j.pendingCount, use.allows(j.spec.owner, j.spec.need, kept))
             if (n <= 0 || j.isGang && n < j.spec.shards) continue
             use.add(j.spec.owner, j.spec.need * n)
-            result += Demand(j.spec, n, pressing(j))
+            if (!j.isGang && j.spec.lendable) ahead += n
+            result += Demand(j.spec, n, pressing(j, if (endsPerS > 0.0) ahead / endsPerS else Double.MAX_VALUE))
         }
         return result + FleetRules.spares(rates(), ::lead, hub.operator.spareFactor, hub.operator.arraySpareFactor)
     }
@@ -389,11 +399,14 @@
      * Ordinary machines cost several times as much as cheap ones: a job that may use both gets them only
      * when it is long late, or soon when there are no cheap ones for it at all.
      */
-    private fun pressing(j: Job): Boolean {
-        val within = hub.settings.objectives.filter { it.jobClass == j.spec.jobClass }.maxOfOrNull { it.withinS }
+    private fun pressing(j: Job, queueS: Double): Boolean {
+        val ageS = (hub.nowMs - j.submittedMs) / MS
+        val aims = hub.settings.objectives.filter { it.jobClass == j.spec.jobClass }
+        if (FleetRules.pressesToStart(ageS, lead(j.spec), queueS, aims.filter { it.kind == "wait" }.map { it.withinS })) return true
+        val within = aims.maxOfOrNull { it.withinS }
             ?: hub.settings.workers.cancelS
         val cheap = hub.world.machines.values.any { it.lendable && ZoneRule.kindAllowed(j.spec, it.flavor, it.site, true) }
-        return hub.nowMs - j.submittedMs > within * (if (cheap) PRESSING_SHARE else PRESSING_SHARE_ALONE) * MS
+        return ageS > within * (if (cheap) PRESSING_SHARE else PRESSING_SHARE_ALONE)
     }
 
     /** What a job of this shape waits for on a fresh machine: boot and image. */
--- a/src/main/kotlin/flaxfield/fleet/FleetRules.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetRules.kt
@@ -84,6 +84,24 @@
         return Packing(rent, used)
     }
 
+    /**
+     * Whether a job that waits for room should get machines of the dearer kind now where no cheap ones are to be
+     * had: a boot and a fetch from here would only just meet the tightest of its aims at start, [waitAimsS], that
+     * can still be met, or the last one is missed already. Not if the queue, which takes [queueS] to reach the
+     * job's end as tasks on cheap machines end, is fast enough.
+     */
+    fun pressesToStart(ageS: Double, leadS: Double, queueS: Double, waitAimsS: List<Double>): Boolean {
+        if (waitAimsS.isEmpty()) return false
+        val open = waitAimsS.filter { it > ageS + leadS }.minOrNull() ?: return ageS > waitAimsS.max()
+        return ageS + leadS * LEAD_MARGIN > open && ageS + queueS > open * QUEUE_SHARE
+    }
+
+    /** The rest of an aim is for the fetch, and for how unevenly tasks end. */
+    private const val QUEUE_SHARE = 0.5
+
+    /** Boots take up to half as long again, and images fetched at once share the rate. */
+    private const val LEAD_MARGIN = 1.5
+
     /** No demand takes less than this. */
     private fun least(demands: List<Demand>) = Room(
         demands.minOfOrNull { it.spec.need.cpus } ?: 0.0,
--- a/src/main/kotlin/flaxfield/fleet/Machine.kt
+++ b/src/main/kotlin/flaxfield/fleet/Machine.kt
@@ -26,8 +26,11 @@
     RETIRING,
 }
 
-/** A room claimed for a gang by the leader; void under any other term than the one it was made in. */
-data class Claim(val job: String, val term: ULong, val tasks: Int, val evict: Boolean)
+/**
+ * A room claimed for a gang by the leader. It is void under any other term than the one it was made in, and once
+ * the gang's [attempt] is placed or the gang is over: nobody has to write the machine's record again to free it.
+ */
+data class Claim(val job: String, val term: ULong, val tasks: Int, val evict: Boolean, val attempt: Long)
 
 /** A machine we pay for, from its rental to the answer to its return. */
 data class Machine(
@@ -59,7 +62,7 @@
         "lendable" to m.lendable,
         "phase" to m.phase.name.lowercase(),
         "at" to m.sinceMs,
-        "claim" to m.claim?.let { mapOf("job" to it.job, "term" to it.term, "tasks" to it.tasks, "evict" to it.evict) },
+        "claim" to m.claim?.let { mapOf("job" to it.job, "term" to it.term, "tasks" to it.tasks, "evict" to it.evict, "try" to it.attempt) },
     )
 
     fun machine(o: Obj, key: String, stamp: ULong) = Machine(
@@ -69,7 +72,15 @@
         o.needFlag("lendable"),
         MachinePhase.valueOf(o.needText("phase").uppercase()),
         o.needCount("at").toLong(),
-        o.obj("claim")?.let { Claim(it.needText("job"), it.needCount("term"), it.int("tasks") ?: 1, it.flag("evict") ?: false) },
+        o.obj("claim")?.let {
+            Claim(
+                it.needText("job"),
+                it.needCount("term"),
+                it.int("tasks") ?: 1,
+                it.flag("evict") ?: false,
+                it.count("try")?.toLong() ?: 0L,
+            )
+        },
         stamp,
     )
 
--- a/src/main/kotlin/flaxfield/gangs/GangDesk.kt
+++ b/src/main/kotlin/flaxfield/gangs/GangDesk.kt
@@ -32,6 +32,8 @@
     /** Hosts whose claim for a gang is on its way: a second round meanwhile would claim, and clear, others too. */
     private val claiming = HashMap<String, List<String>>()
 
+    private var nextLookNs = 0L
+
     /** Room for tasks of parked gangs at the last run: more of it wakes them. */
     private var lastFree = 0
 
@@ -44,7 +46,7 @@
         }
         val term = hub.term() ?: return
         val w = hub.world
-        val claims = w.machines.values.filter { it.claim?.term == term }.groupBy { it.claim?.job.orEmpty() }
+        val claims = w.machines.values.filter { w.claimOn(it) != null }.groupBy { it.claim?.job.orEmpty() }
         claimedSince.keys.retainAll(claims.keys)
         val gangs = w.jobs.values.filter { it.isGang }
         if (gangs.isEmpty() && claims.isEmpty()) return
@@ -65,7 +67,10 @@
         parked.keys.retainAll(waiting.mapTo(HashSet()) { it.id })
         if (waiting.isEmpty()) return
         wake(waiting)
-        if (waiting.all { j -> parked[j.id]?.let { hub.nowNs < it.untilNs } ?: false }) return
+        val anyNew = waiting.any { it.id !in parked }
+        val due = waiting.any { j -> parked[j.id]?.let { hub.nowNs >= it.untilNs } ?: false }
+        if (!anyNew && !(due && hub.nowNs >= nextLookNs)) return
+        nextLookNs = hub.nowNs + (hub.settings.workers.reportS * LOOK_REPORTS * NS).toLong()
         val look = Look(seats(term), use, guaranteed, term)
         val late = hub.nowMs - (JobOrder.BEGIN_S * GATHER_SHARE * MS).toLong()
         val gathers = Gathering.next(waiting, late)
@@ -147,7 +152,7 @@
     private fun seats(term: ULong): List<Seat> = hub.world.machines.values.mapNotNull { m -> seat(m, term) }
 
     private fun seat(m: Machine, term: ULong): Seat? {
-        if (m.phase != MachinePhase.UP || m.claim?.term == term || hub.isBusy(Keys.HOST + m.name)) return null
+        if (m.phase != MachinePhase.UP || hub.world.claimOn(m) != null || hub.isBusy(Keys.HOST + m.name)) return null
         val room = hub.world.hostRoom(m.name)?.takeIf { it.state == HostState.OK } ?: return null
         return seat(m, room)
     }
@@ -211,7 +216,7 @@
         val conditions = HashMap(Settlement.fence(hub))
         val changes = perHost.map { (m, n) ->
             conditions[Keys.HOST + m.name] = m.stamp
-            Change.Put(Keys.HOST + m.name, FleetCodec.encode(m.copy(claim = Claim(job.id, term, n, evict))))
+            Change.Put(Keys.HOST + m.name, FleetCodec.encode(m.copy(claim = Claim(job.id, term, n, evict, job.nextGangAttempt()))))
         }
         val sent = hub.commit(Cause.GANG, Txn(conditions, changes)) { outcome ->
             log.info("job={} term={} claims={} evict={} outcome={}", job.id, term, perHost.keys.map { it.name }, evict, outcome)
@@ -229,7 +234,7 @@
     private fun claimed(id: String, machines: List<Machine>, use: TeamUse, term: ULong) {
         if (machines.any { hub.isBusy(Keys.HOST + it.name) } || hub.isBusy(Keys.JOB + id)) return
         val job = hub.world.jobs[id]
-        if (job == null || job.cancelled || job.placedCount > 0) return release(id, machines, "the gang is gone")
+        if (job == null) return
         val since = claimedSince.getOrPut(id) { hub.nowNs }
         val seats = machines.mapNotNull { m ->
             hub.world.hostRoom(m.name)?.takeIf { it.state == HostState.OK && m.phase == MachinePhase.UP }?.let { seat(m, it) }
@@ -258,8 +263,8 @@
         val conditions = HashMap(base.conditions)
         val changes = ArrayList(base.changes)
         for (m in machines) {
+            // The claim ends with this very write: it is one for an attempt that is placed from then on.
             conditions[Keys.HOST + m.name] = m.stamp
-            changes += Change.Put(Keys.HOST + m.name, FleetCodec.encode(m.copy(claim = null)))
         }
         if (team.limited) {
             conditions[fenceKey] = hub.world.stamp(fenceKey)
@@ -312,6 +317,9 @@
         /** A gang that has waited this share of [JobOrder.BEGIN_S] has room gathered for it. */
         const val GATHER_SHARE = 0.2
 
+        /** Gangs that have been parked are looked at together, so often. */
+        const val LOOK_REPORTS = 0.15
+
         /** Claimed machines get this many report intervals for halted tasks to leave. */
         const val CLAIM_REPORTS = 4.0
     }
--- a/src/main/kotlin/flaxfield/jobs/Settlement.kt
+++ b/src/main/kotlin/flaxfield/jobs/Settlement.kt
@@ -40,7 +40,12 @@
             val events = proofs.events.values.toList()
             val hurry = hurry(job, events)
             if (!hurry && !gathered(proofs)) continue
-            if (settle(job, events, term, if (hurry) Cause.FINISH else Cause.PROOF)) proofs.sinceNs = hub.nowNs
+            val cause = when {
+                hurry -> Cause.FINISH
+                events.size >= FEW -> Cause.PROOF
+                else -> Cause.TRICKLE
+            }
+            if (settle(job, events, term, cause)) proofs.sinceNs = hub.nowNs
         }
         if (hub.leads()) sweep()
     }
@@ -103,6 +108,9 @@
         /** A job that fails everywhere is tried again after this many report intervals, then twice as many. */
         private const val BACKOFF_REPORTS = 2
         private const val MS = 1000
+
+        /** So many tasks of one job are worth a write of their own also when changes are scarce. */
+        const val FEW = 4
         private const val NS = 1e9
 
         /** Ends gather for so many report intervals while some job waits for room, */
--- a/src/main/kotlin/flaxfield/jobs/StallDesk.kt
+++ b/src/main/kotlin/flaxfield/jobs/StallDesk.kt
@@ -20,7 +20,10 @@
 
 /** The leader's look at jobs whose records do not change: it names them, and heals what no one else would. */
 class StallDesk(private val hub: Hub, private val settlement: Settlement) {
-    private class Seen(val stamp: ULong, val sinceNs: Long)
+    private class Seen(val stamp: ULong, val sinceNs: Long) {
+        /** How often it has been named: once in each [STILL_S], not at each look. */
+        var named = 0
+    }
 
     private val seen = HashMap<String, Seen>()
     private var nextNs = 0L
@@ -38,11 +41,12 @@
                 seen[job.id] = Seen(stamp, hub.nowNs)
                 continue
             }
-            look(job, (hub.nowNs - before.sinceNs) / NS)
+            look(job, before)
         }
     }
 
-    private fun look(job: Job, stillS: Double) {
+    private fun look(job: Job, seen: Seen) {
+        val stillS = (hub.nowNs - seen.sinceNs) / NS
         val known = hub.world.machines::containsKey
         if (stillS > hub.settings.workers.leaseS && StallRules.reason(job, hub.nowMs, known) == Stall.HOST_GONE) {
             // A host's record goes only with the answer to its return, and names are never used again.
@@ -50,7 +54,8 @@
                 settlement.add(TaskEvent.Left(job.id, p.index, p.attempt, p.host, "host is gone", false))
             }
         }
-        if (stillS < STILL_S) return
+        if (stillS < STILL_S * (seen.named + 1)) return
+        seen.named++
         val reason = StallRules.reason(job, hub.nowMs, known)
         if (reason == Stall.RUNS) return
         log.info(
--- a/src/main/kotlin/flaxfield/store/Budget.kt
+++ b/src/main/kotlin/flaxfield/store/Budget.kt
@@ -6,6 +6,8 @@
 enum class Cause(
     /** The share of the bucket that must remain after the request: it is kept for those above. */
     val reserve: Double,
+    /** Whether it has a part of the changes to itself: what keeps the fleet and its picture must never starve. */
+    val upkeep: Boolean = false,
 ) {
     LEASE(-1.0),
     CANCEL(-0.5),
@@ -14,13 +16,16 @@
     /** Users wait for it: it may go a little into the next moment's part. */
     SUBMIT(-0.3),
     GANG(0.1),
-    FLEET(0.15),
+    FLEET(0.15, upkeep = true),
     ARRAY(0.2),
-    ROOM(0.25),
+    ROOM(0.25, upkeep = true),
+
+    /** Ends of an array's tasks: they may gather, so that one write tells several. */
+    PROOF(0.25),
     READ(0.3),
 
-    /** Ends of single tasks of an array: they may gather, so that one write tells several. */
-    PROOF(0.35),
+    /** Placements and ends of a few tasks only: when changes are scarce they wait until they are more. */
+    TRICKLE(0.35),
 }
 
 /**
@@ -28,7 +33,7 @@
  * the most important causes only, so a burst of submissions never costs a lease.
  */
 class Budget(limits: StateLimits, nodes: Int) {
-    private class Bucket(private val whole: Double, nodes: Int) {
+    private class Bucket(private val whole: Double, nodes: Int, private val holdsS: Double = 1.0) {
         var rate = whole / nodes
             private set
 
@@ -38,13 +43,13 @@
 
         fun refill(nowNs: Long) {
             if (at == 0L) at = nowNs
-            tokens = minOf(rate, tokens + rate * (nowNs - at) / NS)
+            tokens = minOf(rate * holdsS, tokens + rate * (nowNs - at) / NS)
             at = nowNs
         }
 
         fun share(part: Double) {
             rate = whole * part
-            tokens = minOf(tokens, rate)
+            tokens = minOf(tokens, rate * holdsS)
         }
 
         fun allows(cost: Int, reserve: Double) = tokens - cost >= reserve * rate
@@ -55,7 +60,8 @@
     }
 
     private val requests = Bucket(limits.rps * SAFE_SHARE, nodes)
-    private val writes = Bucket(limits.writeRps * SAFE_SHARE, nodes)
+    private val writes = Bucket(limits.writeRps * SAFE_SHARE * (1 - UPKEEP), nodes)
+    private val upkeep = Bucket(limits.writeRps * SAFE_SHARE * UPKEEP, nodes, UPKEEP_S)
 
     /** How many changes one bulk write may have: more at once would keep everything else waiting for seconds. */
     fun bulk(most: Int): Int = minOf(most, (writes.rate * BULK_S).toInt().coerceAtLeast(BULK_LEAST))
@@ -64,24 +70,45 @@
     fun share(s: Share) {
         requests.share(s.requests)
         writes.share(s.writes)
+        upkeep.share(s.writes)
     }
 
     /** Takes one request with [puts] changes if its cause may have it now. */
     fun take(cause: Cause, puts: Int, nowNs: Long): Boolean {
         requests.refill(nowNs)
         writes.refill(nowNs)
+        upkeep.refill(nowNs)
         if (!requests.allows(1, cause.reserve)) return false
         // Even an empty bucket lets a full-sized transaction through in time: it may overdraw once.
         val cost = minOf(puts, maxOf(1, (writes.rate * (1 - cause.reserve.coerceAtLeast(0.0))).toInt()))
-        if (puts > 0 && !writes.allows(cost, cause.reserve)) return false
+        val from = when {
+            puts == 0 -> writes
+            // Only what both hold together is too much at once: each may spend what the other does not need.
+            cause.upkeep && upkeep.tokens >= minOf(puts, MOST_OVERDRAWN) -> upkeep
+            writes.allows(cost, cause.reserve) -> writes
+            !cause.upkeep && upkeep.tokens >= upkeep.rate * UPKEEP_S * SPARE_SHARE + puts -> upkeep
+            else -> return false
+        }
         requests.take(1)
-        writes.take(puts)
+        from.take(puts)
         return true
     }
 
     private companion object {
         /** A little stays unused: our clock and the service's do not tick together. */
         const val SAFE_SHARE = 0.95
+
+        /** The part of all changes that is the fleet's and the summaries'. */
+        const val UPKEEP = 0.25
+
+        /** It may be saved up for so long, since its writes come in bulk. */
+        const val UPKEEP_S = 2.0
+
+        /** Above this share of what it holds, others may use it. */
+        const val SPARE_SHARE = 0.6
+
+        /** A bulk write goes when so many of its changes are there: the bucket is in debt for a moment. */
+        const val MOST_OVERDRAWN = 4
         const val BULK_S = 0.7
         const val BULK_LEAST = 4
         const val NS = 1e9
--- a/src/main/kotlin/flaxfield/store/World.kt
+++ b/src/main/kotlin/flaxfield/store/World.kt
@@ -4,6 +4,7 @@
 import flaxfield.arrays.RoomCodec
 import flaxfield.arrays.RoomSummary
 import flaxfield.codec.Obj
+import flaxfield.fleet.Claim
 import flaxfield.fleet.Flavor
 import flaxfield.fleet.FleetCodec
 import flaxfield.fleet.Hire
@@ -249,6 +250,12 @@
     /** The same from whichever owner wrote of it last. */
     fun lastRoom(host: String): HostRoom? = hostRooms[host]?.room
 
+    /** The claim that holds a machine now. */
+    fun claimOn(m: Machine): Claim? = m.claim?.takeIf { c ->
+        val gang = jobs[c.job]
+        c.term == assignment?.term && gang != null && !gang.cancelled && gang.placedCount == 0 && gang.nextGangAttempt() == c.attempt
+    }
+
     /** What the teams use now; the caller may add to it. */
     fun use(teams: Map<String, Team>): TeamUse {
         val base = baseUse?.takeIf { useAt == jobsVersion } ?: TeamUse(jobs.values, teams)
--- a/src/main/kotlin/flaxfield/workers/Hearing.kt
+++ b/src/main/kotlin/flaxfield/workers/Hearing.kt
@@ -9,17 +9,20 @@
     private val tenure: ULong = 0uL,
     private val launched: List<Order.Launch> = emptyList(),
     private val answeredNs: Long = 0,
+    /** When its present tenure was first reported to us. */
+    private val tenureNs: Long = 0,
     /** How much speaks against it since an answer last showed an effect. */
     val missed: Int = 0,
 ) {
     /** What a report newer than the one we answered last tells. */
     fun reported(r: Report, term: ULong, nowNs: Long, leaseNs: Double): Hearing {
         if (answeredNs == 0L || term != this.term) return copy(missed = 0)
-        val inLease = nowNs - answeredNs < leaseNs * IN_LEASE
         return when {
-            // Its lease ran out within one lease of an answer of ours.
-            r.tenure > tenure -> copy(missed = if (inLease) missed + LOST_LEASE else 0)
+            // Its lease ran out soon after an answer of ours. A cut or a hang does that once, and then it hears us.
+            r.tenure > tenure -> copy(missed = if (nowNs - answeredNs < leaseNs * RECENT) missed + LOST_LEASE else 0)
             r.epoch < term -> copy(missed = missed + 1)
+            // It has outlived a lease in this tenure: an answer must have renewed it.
+            nowNs - tenureNs > leaseNs * OUTLIVED -> copy(missed = 0)
             launched.isEmpty() -> this
             launched.any { l -> r.tasks.any { it.job == l.job && it.index == l.index && it.attempt == l.attempt } } -> copy(missed = 0)
             else -> copy(missed = missed + 1)
@@ -27,7 +30,13 @@
     }
 
     fun answered(r: Report, term: ULong, orders: List<Order>, nowNs: Long): Hearing =
-        copy(term = term, tenure = r.tenure, launched = orders.filterIsInstance<Order.Launch>(), answeredNs = nowNs)
+        copy(
+            term = term,
+            tenure = r.tenure,
+            launched = orders.filterIsInstance<Order.Launch>(),
+            answeredNs = nowNs,
+            tenureNs = if (r.tenure != tenure || answeredNs == 0L) nowNs else tenureNs,
+        )
 
     val deaf: Boolean get() = missed >= DEAF
 
@@ -37,7 +46,12 @@
 
         /** A lease that ran out weighs as much as two reports. */
         private const val LOST_LEASE = 2
-        private const val IN_LEASE = 0.9
+
+        /** A worker that gets no answers tries one node after another: its reports to its owner are this far apart. */
+        private const val RECENT = 4.0
+
+        /** The clocks of both sides, and the way of the first report. */
+        private const val OUTLIVED = 1.2
 
         /**
          * If more than this share of the machines that report to us seem deaf, it is rather we who are cut off,
--- a/src/test/kotlin/flaxfield/fleet/FleetRulesTest.kt
+++ b/src/test/kotlin/flaxfield/fleet/FleetRulesTest.kt
@@ -43,6 +43,22 @@
         assertEquals(mapOf(Offer("big", "a", false) to 1), rent(Samples.spec(site = "a"), 4, none, pressing = true))
     }
 
+    @Test
+    fun `a job presses when a machine rented now would only just meet its aim at start`() {
+        // Arrays waited 60 to 145 s for cheap machines that were all in use, past their aim of 80 s.
+        val table = listOf(
+            Triple(1.0, listOf(80.0, 200.0), true) to "a boot and a fetch take 57 s, and often 86",
+            Triple(1.0, listOf(120.0), false) to "there is time",
+            Triple(30.0, listOf(80.0, 200.0), false) to "the first aim is lost, the second is far",
+            Triple(120.0, listOf(80.0, 200.0), true) to "the second is near",
+            Triple(201.0, listOf(80.0, 200.0), true) to "both are lost: it must not wait for ever",
+            Triple(99.0, emptyList<Double>(), false) to "no aim at start",
+        )
+        for ((row, what) in table) assertEquals(row.third, FleetRules.pressesToStart(row.first, 57.0, 100.0, row.second), what)
+        // Every job that found no room at once got the dear kind, and the price rose by half.
+        assertEquals(false, FleetRules.pressesToStart(1.0, 57.0, 20.0, listOf(80.0, 200.0)), "tasks end fast enough")
+    }
+
     @Test
     fun `room that is there or on its way is used first`() {
         val bins = { listOf(Bin("h1", "big", "a", false, one), Bin("h2", "big", "a", true, one * 2), Bin(null, "big", "b", true, one * 4)) }
@@ -97,7 +113,7 @@
 
     @Test
     fun `machines, hires and types survive the store`() {
-        val m = Samples.machine("h").copy(claim = Claim("job-1", ULong.MAX_VALUE, 3, true), phase = MachinePhase.RETIRING)
+        val m = Samples.machine("h").copy(claim = Claim("job-1", ULong.MAX_VALUE, 3, true, 7), phase = MachinePhase.RETIRING)
         assertEquals(m, FleetCodec.machine(Wire.decode(Wire.encode(FleetCodec.encode(m))), "live/host/h", m.stamp))
         val h = Hire("n-1", "big", "a", true, 4, 9, 2uL)
         assertEquals(h, FleetCodec.hire(Wire.decode(Wire.encode(FleetCodec.encode(h))), "live/hire/n-1", 2uL))
--- a/src/test/kotlin/flaxfield/sim/Rules.kt
+++ b/src/test/kotlin/flaxfield/sim/Rules.kt
@@ -16,6 +16,9 @@
     var starts = 0
         private set
 
+    /** Starts that a worker refused since its machine was full. */
+    var refusedStarts = 0
+
     private val acceptedAt = HashMap<String, Double>()
     private val answeredAt = HashMap<String, Double>()
     private val began = HashMap<String, Double>()
@@ -112,6 +115,9 @@
         }
     }
 
+    /** When the first job was accepted. */
+    val firstAcceptedS: Double get() = acceptedAt.values.minOrNull() ?: Double.MAX_VALUE
+
     fun told(id: String): String? = told[id]
 
     private fun broke(rule: String, what: String) {
--- a/src/test/kotlin/flaxfield/sim/SimMachines.kt
+++ b/src/test/kotlin/flaxfield/sim/SimMachines.kt
@@ -239,6 +239,7 @@
         } else if (!free.holds(spec.need)) {
             t.state = "ended"
             t.cause = "no_room"
+            rules.refusedStarts++
         }
     }
 
--- a/src/test/kotlin/flaxfield/sim/SimulationTest.kt
+++ b/src/test/kotlin/flaxfield/sim/SimulationTest.kt
@@ -270,13 +270,16 @@
     )
     fun `every rule holds and every job ends`(seed: Int, kind: String) {
         val c = Cluster(seed)
-        for (i in 0..2) c.boot(i)
+        // One after another: the assignment changes while the first leader does its first things.
+        for (i in 0..2) c.loop.after(i * (100 + seed * 15L) * SimLoop.MS) { c.boot(i) }
         val users = jobs(c)
         for ((n, u) in users.withIndex()) c.loop.after((2 + 5L * n) * SimLoop.SECOND, u::submit)
         trouble(c, kind)
         watch(c)
         c.loop.runUntil(END_S)
         c.rules.checkServed()
+        // The types' write met a new assignment and was not tried again for a minute: nobody could submit.
+        assertTrue(c.rules.firstAcceptedS < SERVES_S, "first job accepted at ${c.rules.firstAcceptedS} s")
         assertEquals(emptyList<String>(), c.rules.broken)
         assertEquals(emptyList<String>(), c.state.broken)
         val unfinished = users.filter { c.rules.told(it.spec.id) !in Rules.FINAL }
@@ -317,6 +320,8 @@
         c.rules.checkServed()
         assertEquals(emptyList<String>(), c.rules.broken)
         assertEquals(emptyList<String>(), c.state.broken)
+        // A placement on its way takes room already: without that the next job was sent to the same place.
+        assertTrue(c.rules.refusedStarts * 50 <= c.rules.starts, "${c.rules.refusedStarts} of ${c.rules.starts} starts refused")
         // Rentals of more machines than one write takes: a hire written in part stood as machines still to come.
         assertEquals(emptySet<String>(), c.state.under(Keys.HIRE))
         assertTrue(c.cloud.rented > 150, "${c.cloud.rented} machines rented")
@@ -328,6 +333,9 @@
     private companion object {
         const val CANCEL_S = 20.0
         const val END_S = 400.0
+
+        /** Processes are up, and no trouble has begun. */
+        const val SERVES_S = 12.0
         const val LARGE_END_S = 420.0
 
         /** The last trouble ends before this. */
--- a/src/test/kotlin/flaxfield/store/StoreTest.kt
+++ b/src/test/kotlin/flaxfield/store/StoreTest.kt
@@ -8,10 +8,12 @@
 import flaxfield.arrays.RoomSummary
 import flaxfield.codec.Obj
 import flaxfield.codec.Wire
+import flaxfield.fleet.Claim
 import flaxfield.fleet.FleetCodec
 import flaxfield.jobs.Job
 import flaxfield.jobs.JobCodec
 import flaxfield.jobs.Room
+import flaxfield.jobs.Shape
 import flaxfield.members.Member
 import flaxfield.members.MemberCodec
 import flaxfield.settings.StateLimits
@@ -157,6 +159,28 @@
         assertEquals(HostState.OK, w.lastRoom("h")?.state)
     }
 
+    @Test
+    fun `a claim is void under another term, and once its gang is placed, cancelled or gone`() {
+        val gang = Samples.job(Samples.spec(shape = Shape.GANG, shards = 2))
+        val m = Samples.machine("h").copy(claim = Claim("job-1", 7uL, 1, false, 1))
+        fun held(job: Job?, term: Int = 7): Boolean = World().apply {
+            val a = Member("a", "1", "north")
+            apply(Item(Keys.ASSIGNMENT, stored(MemberCodec.encode(a, listOf(a))), term.toULong()))
+            if (job != null) apply(put(job, 8uL))
+        }.claimOn(m) != null
+        val placed = gang.on(0 to "h", 1 to "g")
+        val table = listOf(
+            held(gang) to true,
+            held(gang, term = 8) to false,
+            held(gang.copy(cancelledMs = 1)) to false,
+            held(placed) to false,
+            // All have left and it waits again: the claim was for the attempt before.
+            held(placed.free(listOf(0, 1))) to false,
+            held(null) to false,
+        )
+        for ((k, row) in table.withIndex()) assertEquals(row.second, row.first, "row $k")
+    }
+
     @Test
     fun `the nodes' parts of the limits never sum to more than the whole, takeovers included`() {
         // Rows: nodes in all, members under the assignment, and how many of these think that they lead.
--- a/src/test/kotlin/flaxfield/workers/HearingTest.kt
+++ b/src/test/kotlin/flaxfield/workers/HearingTest.kt
@@ -28,13 +28,18 @@
         val table = listOf(
             Triple("the launch shows", listOf(report(), report(has = true), report(has = true)), 0),
             Triple("one answer was lost", listOf(report(), report(), report(has = true)), 0),
-            Triple("no launch shows", List(5) { report() }, 4),
+            Triple("no launch shows", List(3) { report() }, 2),
             Triple("the epoch does not rise", List(5) { report(epoch = 6) }, 4),
             Triple("its lease runs out under our answers", listOf(report(), report(), report(tenure = 2), report(tenure = 2)), 4),
+            Triple("it outlives a lease all the same", List(5) { report() }, 0),
         )
         for ((what, reports, want) in table) assertEquals(want, missed(reports), what)
-        // It hung or was cut off: there was no answer of ours within its lease.
-        assertEquals(0, missed(listOf(report(), report(tenure = 2)), everyS = 20.0))
+        // A worker that gets no answers goes round all nodes: its owner hears of it once in several leases of its own.
+        // One task was placed on such a machine 59 times, as each rising tenure proved that it had left.
+        assertEquals(4, missed(listOf(report(), report(tenure = 3), report(tenure = 5)), everyS = 30.0))
+        // It was cut off, and hears us again: its tenure lasts.
+        assertEquals(0, missed(listOf(report(), report(tenure = 2)) + List(3) { report(tenure = 2) }, everyS = 8.0))
+        assertEquals(0, missed(listOf(report(), report(tenure = 2)), everyS = 60.0))
         assertEquals(listOf(false, true), listOf(3, 4).map { Hearing(missed = it).deaf })
     }
 
