--- a/src/main/kotlin/flaxfield/arrays/ArrayDesk.kt
+++ b/src/main/kotlin/flaxfield/arrays/ArrayDesk.kt
@@ -3,6 +3,7 @@
 import flaxfield.fleet.Machine
 import flaxfield.fleet.MachinePhase
 import flaxfield.jobs.Job
+import flaxfield.jobs.Room
 import flaxfield.jobs.Settlement
 import flaxfield.node.Hub
 import flaxfield.quota.JobOrder
@@ -17,8 +18,14 @@
 
 /** This node's part: places arrays on its own machines, tells their room, and clears claimed machines. */
 class ArrayDesk(private val hub: Hub, private val workers: WorkerDesk) {
-    private var summarySent: RoomSummary? = null
+    private var pages = 1
+    private var pagesTerm: ULong? = null
+    private val sent = HashMap<Int, RoomSummary>()
     private var nextSummaryNs = 0L
+    private var nextImagesNs = 0L
+
+    /** When a job that waits was first seen to do so, by id. */
+    private val waitingSinceNs = HashMap<String, Long>()
 
     fun run() {
         val term = hub.term() ?: return
@@ -29,23 +36,46 @@
         place(term)
     }
 
-    private fun mine(): List<Machine> = hub.world.machines.values.filter { hub.owns(it) }
-
     private fun summarise(term: ULong) {
-        val now = RoomSummary(term, mine().associate { it.name to workers.book(it.name).room(workers.state(it.name)) })
-        if (now == summarySent && hub.world.rooms[hub.me.name] == now) return
-        val key = Keys.ROOM + hub.me.name
-        if (hub.isBusy(key) || hub.nowNs < nextSummaryNs) return
+        if (hub.nowNs < nextSummaryNs) return
+        nextSummaryNs = hub.nowNs + (hub.settings.workers.reportS * SUMMARY_REPORTS * NS).toLong()
+        if (term != pagesTerm) {
+            pagesTerm = term
+            sent.clear()
+        }
+        val mine = hub.mine()
+        pages = RoomPages.count(mine.size, hub.settings.stateLimits.valueKb, pages)
+        val dealt = Array(pages) { HashMap<String, HostRoom>() }
+        for (m in mine) dealt[RoomPages.page(m.name, pages)][m.name] = workers.book(m.name).room(workers.state(m.name))
+        // A machine that came up or fell silent is news at once; which images it holds may wait a little.
+        val withImages = hub.nowNs >= nextImagesNs
+        if (withImages) nextImagesNs = hub.nowNs + (hub.settings.workers.reportS * IMAGES_REPORTS * NS).toLong()
+        // The last page first: when pages split, rows appear in their new page before they leave the old one.
+        for (page in dealt.indices.reversed()) {
+            val now = RoomSummary(term, dealt[page])
+            val before = sent[page]
+            if (now == before || before != null && !withImages && sameStates(before, now)) continue
+            write(page, now, before == null || !sameStates(before, now))
+        }
+    }
+
+    private fun sameStates(a: RoomSummary, b: RoomSummary): Boolean = a.hosts.size == b.hosts.size &&
+        b.hosts.all { (name, room) -> a.hosts[name]?.let { it.state == room.state && it.tenure == room.tenure } ?: false }
+
+    private fun write(page: Int, now: RoomSummary, pressing: Boolean) {
+        val key = Keys.room(hub.me.name, page)
+        if (hub.isBusy(key)) return
         val conditions = Settlement.fence(hub) + (key to hub.world.stamp(key))
-        if (hub.commit(Cause.ROOM, Txn(conditions, listOf(Change.Put(key, RoomCodec.encode(now)))))) {
-            summarySent = now
-            nextSummaryNs = hub.nowNs + (hub.settings.workers.reportS * SUMMARY_REPORTS * NS).toLong()
+        val cause = if (pressing) Cause.FLEET else Cause.ROOM
+        val written = hub.commit(cause, Txn(conditions, listOf(Change.Put(key, RoomCodec.encode(now))))) {
+            if (it !is Outcome.Committed) sent.remove(page)
         }
+        if (written) sent[page] = now
     }
 
     /** Machines that are no longer needed: what fills them goes on elsewhere. */
     private fun drain(term: ULong) {
-        for (m in mine()) {
+        for (m in hub.mine()) {
             if (m.phase != MachinePhase.DRAINING) continue
             val on = hub.world.on(m.name).filter { !it.placed.stopping && !it.job.isGang }
             for ((id, list) in on.groupBy { it.job.id }) {
@@ -56,10 +86,10 @@
 
     /** Where the leader claims a machine for a more urgent gang, tasks make way as far as the rules allow. */
     private fun evict(term: ULong) {
-        val claimed = mine().filter { it.claim?.let { c -> c.evict && c.term == term } ?: false }
+        val claimed = hub.mine().filter { it.claim?.let { c -> c.evict && c.term == term } ?: false }
         if (claimed.isEmpty()) return
-        val use = TeamUse(hub.world.jobs.values, hub.settings.teams)
-        val guaranteed = JobOrder.guaranteed(hub.world.jobs.values, hub.settings.teams)
+        val use = hub.use()
+        val guaranteed = hub.guaranteed()
         for (m in claimed) {
             val claim = m.claim ?: continue
             val gang = hub.world.jobs[claim.job] ?: continue
@@ -87,23 +117,45 @@
         val waiting = w.jobs.values.filter {
             !it.isGang && !it.cancelled && it.pendingCount > 0 && it.retryAtMs <= hub.nowMs && !hub.isBusy(Keys.JOB + it.id)
         }
+        waitingSinceNs.keys.retainAll(waiting.mapTo(HashSet()) { it.id })
         if (waiting.isEmpty()) return
-        val seats = mine().filter { open(it, term) }.mapNotNull { m ->
-            val free = w.free(m) ?: return@mapNotNull null
+        // Nothing smaller than this waits: a machine with less room is no seat for anyone.
+        val least = Room(
+            waiting.minOf { it.spec.need.cpus },
+            waiting.minOf { it.spec.need.gpus },
+            waiting.minOf { it.spec.need.ram },
+        )
+        val seats = hub.mine().mapNotNull { m ->
+            val free = w.free(m)?.takeIf { it.holds(least) } ?: return@mapNotNull null
+            if (!open(m, term)) return@mapNotNull null
             val book = workers.book(m.name)
             val report = book.report ?: return@mapNotNull null
-            // What the worker still has without a record takes room as well.
-            Seat(m, report.tenure, free, book.images.keys.toSet(), w.on(m.name).isEmpty())
+            Seat(m, report.tenure, free, book.images.keys, w.isEmpty(m.name))
         }
         if (seats.isEmpty()) return
-        val use = TeamUse(w.jobs.values, hub.settings.teams)
-        val guaranteed = JobOrder.guaranteed(w.jobs.values, hub.settings.teams)
-        for (job in JobOrder.sort(waiting, guaranteed, use)) {
+        val use = hub.use()
+        val guaranteed = hub.guaranteed()
+        for (job in JobOrder.sort(waiting, guaranteed, use, JobOrder.lateMs(hub.nowMs))) {
+            if (!myTurn(job)) continue
             val fit = seats.filter { it.free.holds(job.spec.need) && hub.reserved.fills(job.spec, it.machine.flavor, it.machine.lendable) }
             if (fit.isNotEmpty()) placeJob(job, fit, use, term)
         }
     }
 
+    /**
+     * Parts let one another go first with a new job, in an order that its id draws: all at once, they wrote
+     * the same record, and each but one wrote in vain.
+     */
+    private fun myTurn(job: Job): Boolean {
+        val since = waitingSinceNs.getOrPut(job.id) { hub.nowNs }
+        val members = hub.world.assignment?.members?.map { it.name }?.sorted().orEmpty()
+        val rank = Math.floorMod(members.indexOf(hub.me.name) + job.id.hashCode(), members.size.coerceAtLeast(1))
+        val wait = hub.settings.workers.reportS * TURN_REPORTS * rank
+        if (hub.nowNs - since >= wait * NS) return true
+        hub.wakeAt(since + (wait * NS).toLong())
+        return false
+    }
+
     private fun open(m: Machine, term: ULong): Boolean = m.phase == MachinePhase.UP &&
         m.claim?.term != term &&
         !hub.isBusy(Keys.HOST + m.name) &&
@@ -154,6 +206,12 @@
 
         /** Summaries are written at most this often, in report intervals. */
         const val SUMMARY_REPORTS = 0.4
+
+        /** Images alone are written at most this often. */
+        const val IMAGES_REPORTS = 1.5
+
+        /** How long a part lets the one before it go first with a job, in report intervals: a write and its news. */
+        const val TURN_REPORTS = 0.06
         const val NS = 1e9
     }
 }
--- a/src/main/kotlin/flaxfield/arrays/Placement.kt
+++ b/src/main/kotlin/flaxfield/arrays/Placement.kt
@@ -8,7 +8,10 @@
 import flaxfield.jobs.Validation
 
 /** A machine as a round sees it; [free] shrinks as the round assumes tasks on it. */
-class Seat(val machine: Machine, val tenure: ULong, var free: Room, val images: Set<String>, val empty: Boolean)
+class Seat(val machine: Machine, val tenure: ULong, var free: Room, val images: Collection<String>, val empty: Boolean) {
+    /** The same seat for a round whose assumptions are its own. */
+    fun copy() = Seat(machine, tenure, free, images, empty)
+}
 
 /** Rules on where a task may go that depend on where the job's other tasks are now. */
 class ZoneRule(private val spec: JobSpec, placedSites: List<String>) {
--- a/src/main/kotlin/flaxfield/arrays/RoomSummary.kt
+++ b/src/main/kotlin/flaxfield/arrays/RoomSummary.kt
@@ -27,9 +27,53 @@
     val images: List<String>,
 )
 
-/** What a part tells the leader about its machines, under one term. Free room follows from the records. */
+/** What a part tells the leader about some of its machines, under one term. Free room follows from the records. */
 data class RoomSummary(val term: ULong, val hosts: Map<String, HostRoom>)
 
+/**
+ * Pure: a part's machines dealt into summaries that each fit one value of the state service. One value for
+ * all was refused as too large at some 100 machines, and was written whole at any change.
+ */
+object RoomPages {
+    /** A machine's row as it is counted: name, state, tenure and address, with its images kept below the rest. */
+    const val ROW_BYTES = 320
+
+    /** What a row takes without its images. */
+    private const val BARE_BYTES = 100
+
+    /** The part of a value that rows may fill. */
+    private const val FILL = 0.75
+
+    /** How many pages [machines] need, at least [now]: a power of two, so that pages split and rows stay put. */
+    fun count(machines: Int, valueKb: Double, now: Int): Int {
+        var pages = maxOf(1, now)
+        // Hashing deals unevenly: the fullest page of a few holds well under twice the mean.
+        while (machines.toDouble() * ROW_BYTES * UNEVEN > pages * valueKb * KB * FILL) pages *= 2
+        return pages
+    }
+
+    fun page(host: String, pages: Int): Int = Math.floorMod(host.hashCode() * SPREAD ushr SHIFT, pages)
+
+    /** The latest used of [images] that fit a row. */
+    fun images(images: List<String>): List<String> {
+        var left = ROW_BYTES - BARE_BYTES
+        return images.asReversed().takeWhile { name ->
+            left -= name.length + QUOTES
+            left >= 0
+        }.asReversed()
+    }
+
+    private const val UNEVEN = 1.3
+    private const val KB = 1024
+
+    /** Two quotes and a comma. */
+    private const val QUOTES = 3
+
+    /** Names differ in their last digits: multiplied, they differ in the high bits as well. */
+    private const val SPREAD = -0x61c88647
+    private const val SHIFT = 16
+}
+
 object RoomCodec {
     fun encode(s: RoomSummary): Map<String, Any?> = mapOf(
         "term" to s.term,
--- a/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
@@ -9,11 +9,9 @@
 import flaxfield.jobs.TaskEvent
 import flaxfield.node.Hub
 import flaxfield.quota.JobOrder
-import flaxfield.quota.TeamUse
 import flaxfield.store.Cause
 import flaxfield.store.Change
 import flaxfield.store.Keys
-import flaxfield.store.OnHost
 import flaxfield.store.Outcome
 import flaxfield.store.Txn
 import org.slf4j.LoggerFactory
@@ -196,24 +194,29 @@
             hub.post {
                 returnOpen = false
                 log.info("hosts={} returned, answered={}", names, ok)
-                if (ok) for (n in names) returned(n)
+                if (ok) returned(names)
             }
         }
     }
 
     /** The answer to a return proves that the machine and everything on it is gone. */
-    private fun returned(host: String) {
-        unknownSinceNs.remove(host)
-        failed.remove(host)
-        idleSinceNs.remove(host)
-        val m = hub.world.machines[host] ?: return
-        if (!hub.leads()) return
-        val records = hub.world.on(host)
-        for (r in records) {
-            settlement.add(TaskEvent.Left(r.job.id, r.placed.index, r.placed.attempt, host, "machine returned", false))
+    private fun returned(hosts: List<String>) {
+        val empty = ArrayList<Machine>()
+        for (host in hosts) {
+            unknownSinceNs.remove(host)
+            failed.remove(host)
+            idleSinceNs.remove(host)
+            val m = hub.world.machines[host] ?: continue
+            if (!hub.leads()) continue
+            val records = hub.world.on(host)
+            for (r in records) {
+                settlement.add(TaskEvent.Left(r.job.id, r.placed.index, r.placed.attempt, host, "machine returned", false))
+            }
+            if (records.isEmpty()) empty += m
         }
-        if (records.isEmpty()) {
-            hub.commit(Cause.FLEET, Txn(Settlement.fence(hub) + (Keys.HOST + host to m.stamp), listOf(Change.Drop(Keys.HOST + host))))
+        for (some in empty.chunked(hub.settings.stateLimits.txnOps)) {
+            val conditions = Settlement.fence(hub) + some.associate { Keys.HOST + it.name to it.stamp }
+            hub.commit(Cause.FLEET, Txn(conditions, some.map { Change.Drop(Keys.HOST + it.name) }))
         }
     }
 
@@ -239,22 +242,26 @@
         val flavor = w.flavors[m.flavor] ?: return null
         if (m.name in failed) return "listed as failed"
         val room = w.hostRoom(m.name) ?: return null
-        val on = w.on(m.name)
+        val empty = w.isEmpty(m.name)
         val limit = hub.settings.workers.cancelS * CANCEL_SHARE * MS
-        val overdue = on.firstOrNull { r -> r.job.cancelledMs?.let { hub.nowMs - it > limit } ?: false }
+        val overdue = if (w.halting.isEmpty()) {
+            null
+        } else {
+            w.jobsOn(m.name).firstOrNull { j -> j.cancelledMs?.let { hub.nowMs - it > limit } ?: false }
+        }
         return when {
             room.state == HostState.SILENT -> "silent"
             room.state == HostState.FAULTY -> "faulty"
-            room.state == HostState.UNSEEN && on.isEmpty() && settled() &&
+            room.state == HostState.UNSEEN && empty && settled() &&
                 hub.nowMs - m.sinceMs > flavor.readyS * BOOT_FACTOR * MS -> "never came up"
-            overdue != null -> "cancelled ${overdue.job.id} is still on it"
+            overdue != null -> "cancelled ${overdue.id} is still on it"
             else -> {
                 val idle = idleSinceNs[m.name]
                 val keep = flavor.readyS * hub.operator.keepIdleBoots
                 when {
-                    m.phase == MachinePhase.DRAINING -> if (on.isEmpty()) "drained" else null
+                    m.phase == MachinePhase.DRAINING -> if (empty) "drained" else null
                     idle == null || m.claim?.term == hub.term() || hub.nowNs - idle <= keep * NS -> null
-                    on.isEmpty() -> "idle"
+                    empty -> "idle"
                     else -> SURPLUS
                 }
             }
@@ -285,7 +292,8 @@
         // Machines that save a booting one come first: cheap kinds before ordinary ones.
         // Among the ordinary ones those with images, so that spares are kept where gangs start soonest.
         bins.sortWith(compareBy({ if (it.lendable) 0 else 1 }, { -(it.host?.let(w::hostRoom)?.images?.size ?: 0) }))
-        val packing = FleetRules.pack(demands(), bins, w.flavors, MOST_NEW, hub.reserved::rents) { o ->
+        val mostNew = maxOf(MOST_PER_HIRE, (hub.settings.cloudRps * MOST_PER_HIRE * hub.settings.workers.reportS * PLAN_REPORTS).toInt())
+        val packing = FleetRules.pack(demands(), bins, w.flavors, mostNew, hub.reserved::rents, load()) { o ->
             val r = refused[o]
             val f = w.flavors[o.flavor]
             if (f == null || r != null && now < r.untilNs) {
@@ -300,7 +308,7 @@
         val backlog = w.jobs.values.any { !it.isGang && !it.cancelled && it.pendingCount > 0 && it.retryAtMs <= hub.nowMs }
         for (m in w.machines.values) {
             val idle = m.phase == MachinePhase.UP && m.name !in packing.usedHosts &&
-                w.on(m.name).let { on -> on.isEmpty() || !backlog && on.all { guest(it, m) } } &&
+                (w.isEmpty(m.name) || !backlog && w.jobsOn(m.name).all { guest(it, m) }) &&
                 w.hostRoom(m.name)?.state == HostState.OK
             if (idle) idleSinceNs.putIfAbsent(m.name, now) else idleSinceNs.remove(m.name)
         }
@@ -308,12 +316,20 @@
         for ((offer, n) in packing.rent) hire(offer, minOf(n, MOST_PER_HIRE))
     }
 
-    private fun guest(r: OnHost, m: Machine) = hub.reserved.guests(r.job.spec, m.flavor, m.lendable)
+    /** Machines for each controller of a zone: a zone with one of three controllers gets a third of what may be anywhere. */
+    private fun load(): Load {
+        val machines = hub.world.machines.values.groupingBy { it.site }.eachCount()
+        val nodes = hub.world.assignment?.members.orEmpty().groupingBy { it.zone }.eachCount()
+        return Load { site, more -> ((machines[site] ?: 0) + more).toDouble() / maxOf(1, nodes[site] ?: 0) }
+    }
+
+    private fun guest(j: Job, m: Machine) = hub.reserved.guests(j.spec, m.flavor, m.lendable)
 
     /** What a machine has free once its guests have made way: with them counted, spares were rented twice. */
     private fun roomWithoutGuests(m: Machine): Room? {
         val free = hub.world.free(m) ?: return null
-        return hub.world.on(m.name).filter { guest(it, m) }.fold(free) { room, r -> room + r.job.spec.need }
+        return hub.world.jobsOn(m.name).filter { guest(it, m) }
+            .fold(free) { room, j -> room + j.spec.need * hub.world.countOn(m.name, j.id) }
     }
 
     private fun hire(offer: Offer, n: Int) {
@@ -335,13 +351,13 @@
 
     private fun demands(): List<Demand> {
         val w = hub.world
-        val use = TeamUse(w.jobs.values, hub.settings.teams)
-        val guaranteed = JobOrder.guaranteed(w.jobs.values, hub.settings.teams)
+        val use = hub.use()
+        val guaranteed = hub.guaranteed()
         val term = hub.term()
         val claimed = w.machines.values.mapNotNullTo(HashSet()) { m -> m.claim?.takeIf { it.term == term }?.job }
         val waiting = w.jobs.values.filter { it.pendingCount > 0 && !it.cancelled && it.id !in claimed && it.retryAtMs <= hub.nowMs }
         val result = ArrayList<Demand>()
-        for (j in JobOrder.sort(waiting, guaranteed, use)) {
+        for (j in JobOrder.sort(waiting, guaranteed, use, JobOrder.lateMs(hub.nowMs))) {
             val kept = if (j.isGang) Room.NONE else hub.reserved.ofLimit(j.spec.owner)
             val n = minOf(j.pendingCount, use.allows(j.spec.owner, j.spec.need, kept))
             if (n <= 0 || j.isGang && n < j.spec.shards) continue
@@ -401,8 +417,9 @@
         /** PROTOCOL-flaxfield.md: a machine that dies stays listed for about 30 s more. */
         const val GONE_LISTED_S = 30.0
         const val MOST_RETURNED = 100
+
+        /** PROTOCOL-flaxfield.md: at most so many machines a rental. */
         const val MOST_PER_HIRE = 50
-        const val MOST_NEW = 60
 
         /** "Some machines take several times as long": after this many boot times it never comes. */
         const val BOOT_FACTOR = 3.2
--- a/src/main/kotlin/flaxfield/fleet/FleetRules.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetRules.kt
@@ -6,9 +6,7 @@
 import flaxfield.jobs.Shape
 
 /** Room that is there or on its way, as the demand is packed into it. */
-class Bin(val host: String?, val flavor: String, val site: String, val lendable: Boolean, var free: Room) {
-    var used = false
-}
+class Bin(val host: String?, val flavor: String, val site: String, val lendable: Boolean, var free: Room)
 
 /** A kind of machine to ask for in one zone. */
 data class Offer(val flavor: String, val site: String, val lendable: Boolean)
@@ -29,14 +27,17 @@
     operator fun invoke(spec: JobSpec, flavor: String, lendable: Boolean): Boolean
 }
 
+/** How much a zone's controllers have to do already, with some more machines. */
+fun interface Load {
+    operator fun invoke(site: String, more: Int): Double
+}
+
 /** Pure decisions on what to rent. */
 object FleetRules {
-    /** Tasks looked at in one packing: a huge array must not eat the leader's core. */
-    const val MOST_TASKS = 600
-
     /**
      * Packs [demands] in their order into [bins], and into new machines where they do not fit.
-     * [price] is what an offer costs an hour, or null if it can't be had now.
+     * [price] is what an offer costs an hour, or null if it can't be had now; among equal prices the zone with
+     * the least [load] is taken.
      */
     fun pack(
         demands: List<Demand>,
@@ -44,36 +45,60 @@
         flavors: Map<String, Flavor>,
         mostNew: Int,
         suits: Suits,
+        load: Load = Load { _, _ -> 0.0 },
         price: (Offer) -> Double?,
     ): Packing {
-        val all = ArrayList(bins)
-        val rent = HashMap<Offer, Int>()
-        var left = MOST_TASKS
+        val open = ArrayList(bins)
+        val used = HashSet<String>()
+        val rent = LinkedHashMap<Offer, Int>()
         var new = 0
+        val least = least(demands)
         for (d in demands) {
             val rule = ZoneRule(d.spec, emptyList())
-            var tasks = minOf(d.tasks, left)
-            left -= tasks
+            val zone = if (d.spec.samePlace && d.tasks > 1) zone(d, open, suits) else null
+            var tasks = d.tasks
             var next = 0
             while (tasks > 0) {
-                while (next < all.size && !takes(all[next], d.spec, rule, suits)) next++
-                if (next >= all.size) {
+                while (next < open.size && !((zone == null || open[next].site == zone) && takes(open[next], d.spec, rule, suits))) next++
+                if (next >= open.size) {
                     if (new >= mostNew) break
-                    val offer = best(d, tasks, flavors, rule, suits, price) ?: break
+                    val offer = best(d, tasks, flavors, rule, suits, { load(it, rent.entries.sumOf { r -> if (r.key.site == it) r.value else 0 }) }, price)
+                        ?: break
                     val flavor = flavors.getValue(offer.flavor)
                     rent.merge(offer, 1, Int::plus)
                     new++
-                    all += Bin(null, offer.flavor, offer.site, offer.lendable, flavor.room)
+                    open += Bin(null, offer.flavor, offer.site, offer.lendable, flavor.room)
                     continue
                 }
-                val bin = all[next]
-                bin.free -= d.spec.need
-                bin.used = true
+                val bin = open[next]
+                // With scatter each task may change where the next one is allowed.
+                val n = if (d.spec.scatter) 1 else minOf(tasks, bin.free.count(d.spec.need))
+                bin.free -= d.spec.need * n
+                bin.host?.let(used::add)
                 rule.add(bin.site)
-                tasks--
+                tasks -= n
             }
+            // Full machines are looked at no more: there are hundreds of them, and hundreds of demands.
+            open.removeIf { !it.free.holds(least) }
+        }
+        return Packing(rent, used)
+    }
+
+    /** No demand takes less than this. */
+    private fun least(demands: List<Demand>) = Room(
+        demands.minOfOrNull { it.spec.need.cpus } ?: 0.0,
+        demands.minOfOrNull { it.spec.need.gpus } ?: 0.0,
+        demands.minOfOrNull { it.spec.need.ram } ?: 0.0,
+    )
+
+    /** The zone that has room for most of a job whose tasks must be together; null if none has any. */
+    private fun zone(d: Demand, bins: List<Bin>, suits: Suits): String? {
+        val rule = ZoneRule(d.spec, emptyList())
+        val room = HashMap<String, Int>()
+        for (b in bins) {
+            if (takes(b, d.spec, rule, suits)) room.merge(b.site, minOf(d.tasks, b.free.count(d.spec.need)), Int::plus)
         }
-        return Packing(rent, all.mapNotNullTo(HashSet()) { b -> b.host?.takeIf { b.used } })
+        return room.maxByOrNull { minOf(it.value, d.tasks) }?.key
     }
 
     private fun takes(bin: Bin, spec: JobSpec, rule: ZoneRule, suits: Suits): Boolean =
@@ -89,6 +114,7 @@
         flavors: Map<String, Flavor>,
         rule: ZoneRule,
         suits: Suits,
+        load: (String) -> Double,
         price: (Offer) -> Double?,
     ): Offer? {
         val spec = demand.spec
@@ -101,6 +127,7 @@
         }
         var best: Offer? = null
         var least = Double.MAX_VALUE
+        var lightest = Double.MAX_VALUE
         for (f in flavors.values) {
             if (spec.flavors != null && f.label !in spec.flavors) continue
             val fits = minOf(f.room.count(spec.need), tasks)
@@ -111,8 +138,9 @@
                     if (!suits(spec, f.label, lendable)) continue
                     val offer = Offer(f.label, site, lendable)
                     val cost = (price(offer) ?: continue) / fits
-                    if (cost < least) {
+                    if (cost < least || cost == least && load(site) < lightest) {
                         least = cost
+                        lightest = load(site)
                         best = offer
                     }
                 }
--- a/src/main/kotlin/flaxfield/gangs/GangDesk.kt
+++ b/src/main/kotlin/flaxfield/gangs/GangDesk.kt
@@ -9,7 +9,9 @@
 import flaxfield.fleet.Machine
 import flaxfield.fleet.MachinePhase
 import flaxfield.jobs.Job
+import flaxfield.jobs.Room
 import flaxfield.jobs.Settlement
+import flaxfield.jobs.Urgency
 import flaxfield.node.Hub
 import flaxfield.quota.JobOrder
 import flaxfield.quota.TeamUse
@@ -46,8 +48,8 @@
         claimedSince.keys.retainAll(claims.keys)
         val gangs = w.jobs.values.filter { it.isGang }
         if (gangs.isEmpty() && claims.isEmpty()) return
-        val use = TeamUse(w.jobs.values, hub.settings.teams)
-        val guaranteed = JobOrder.guaranteed(w.jobs.values, hub.settings.teams)
+        val use = hub.use()
+        val guaranteed = hub.guaranteed()
         for ((id, machines) in claims) claimed(id, machines, use, term)
         claiming.values.removeIf { hosts -> hosts.none { hub.isBusy(Keys.HOST + it) } }
         val waiting = gangs.filter {
@@ -62,14 +64,66 @@
         }
         parked.keys.retainAll(waiting.mapTo(HashSet()) { it.id })
         if (waiting.isEmpty()) return
-        val seats = seats(term)
-        wake(seats)
-        var rounds = 0
-        for (job in JobOrder.sort(waiting, guaranteed, use)) {
+        val look = Look(seats(term), use, guaranteed, term)
+        wake(look.seats)
+        val late = hub.nowMs - (JobOrder.BEGIN_S * GATHER_SHARE * MS).toLong()
+        val gathers = Gathering.next(waiting, late)
+        for (job in listOfNotNull(gathers) + JobOrder.sort(waiting, guaranteed, use, JobOrder.lateMs(hub.nowMs)).filter { it !== gathers }) {
             val p = parked[job.id]
-            if (p != null && hub.nowNs < p.untilNs) continue
-            if (rounds++ >= MOST_ROUNDS) break
-            round(job, seats, use, guaranteed, term)
+            val parkedNow = p != null && hub.nowNs < p.untilNs
+            if (!parkedNow && look.known.runs < MOST_ROUNDS) round(job, look)
+            // What is there for the gang that gathers is no longer there for those after it.
+            if (job === gathers && job.id !in claiming) look.seats = Gathering.without(job, look.seats, look.cleared(job))
+        }
+    }
+
+    /** What one run of the desk looks at, and what it has found out on the way. */
+    private inner class Look(var seats: List<Seat>, val use: TeamUse, val guaranteed: Set<String>, val term: ULong) {
+        val known = ShortRounds()
+        private val evictable = HashMap<Triple<Urgency, Boolean, String>, Map<String, Room>>()
+        val busyWithGangs: List<Pair<Machine, HostRoom>> by lazy(LazyThreadSafetyMode.NONE) {
+            val w = hub.world
+            w.machines.values.filter { m -> m.phase == MachinePhase.UP && w.jobsOn(m.name).any { it.isGang } }
+                .mapNotNull { m -> w.hostRoom(m.name)?.takeIf { it.state == HostState.OK }?.let { m to it } }
+        }
+
+        fun plain(job: Job): Round = known.run(job, "") { seats }
+
+        /** The seats as they would be without the tasks that this gang may take the place of. */
+        fun cleared(job: Job): List<Seat> {
+            val room = evictable.getOrPut(rights(job)) { evictable(job) }
+            return seats.map { s -> room[s.machine.name]?.let { Seat(s.machine, s.tenure, s.free + it, s.images, s.empty) } ?: s.copy() }
+        }
+
+        fun afterEviction(job: Job): Round = known.run(job, rights(job).toString()) { cleared(job) }
+
+        /** A machine carries one claim at a time. */
+        fun claimed(hosts: Set<String>) {
+            seats = seats.filter { it.machine.name !in hosts }
+        }
+
+        private fun rights(job: Job): Triple<Urgency, Boolean, String> {
+            val within = job.id in guaranteed
+            return Triple(job.spec.urgency, within, if (within) job.spec.owner else "")
+        }
+
+        private fun evictable(job: Job): Map<String, Room> {
+            val w = hub.world
+            val within = job.id in guaranteed
+            val result = HashMap<String, Room>()
+            for (s in seats) {
+                var room = Room.NONE
+                for (other in w.jobsOn(s.machine.name)) {
+                    val n = when {
+                        other.cancelled || mayEvict(job, within, other, use) -> w.countOn(s.machine.name, other.id)
+                        other.id in w.halting -> w.on(s.machine.name).count { it.job.id == other.id && it.placed.stopping }
+                        else -> 0
+                    }
+                    if (n > 0) room += other.spec.need * n
+                }
+                if (room !== Room.NONE) result[s.machine.name] = room
+            }
+            return result
         }
     }
 
@@ -89,27 +143,26 @@
 
     private fun seat(m: Machine, room: HostRoom): Seat? {
         val free = hub.world.free(m) ?: return null
-        return Seat(m, room.tenure, free, room.images.toSet(), hub.world.on(m.name).isEmpty())
+        return Seat(m, room.tenure, free, room.images, hub.world.isEmpty(m.name))
     }
 
-    private fun round(job: Job, seats: List<Seat>, use: TeamUse, guaranteed: Set<String>, term: ULong) {
-        if (use.allows(job.spec.owner, job.spec.need) < job.spec.shards) return park(job, "the team's limit")
-        val plain = GangRound.run(job, seats)
-        if (plain is Round.Full && (warm(job, plain) || !fetchIsSlow(job, plain))) return claim(job, plain.seats, evict = false, term)
+    private fun round(job: Job, look: Look) {
+        if (look.use.allows(job.spec.owner, job.spec.need) < job.spec.shards) return park(job, "the team's limit")
+        val plain = look.plain(job)
+        if (plain is Round.Full && (warm(job, plain) || !fetchIsSlow(job, plain))) return claim(job, plain.seats, evict = false, look)
         // Without room, or only where the image must be fetched for longer than tasks take to make way.
-        val cleared = withEviction(job, seats, use, job.id in guaranteed)
-        val second = cleared?.let { GangRound.run(job, it) }
+        val second = look.afterEviction(job)
         val best = if (second is Round.Full && (plain is Round.Short || warm(job, second))) second else plain
-        if (best is Round.Full && !warm(job, best) && waitsForWarm(job, best)) {
+        if (best is Round.Full && !warm(job, best) && waitsForWarm(job, best, look)) {
             if (plain is Round.Full) giveBack(job, plain)
             return park(job, "waits for a machine with ${job.spec.bundle}")
         }
         when {
             second is Round.Full && (plain is Round.Short || warm(job, second)) -> {
                 if (plain is Round.Full) giveBack(job, plain)
-                claim(job, second.seats, evict = true, term)
+                claim(job, second.seats, evict = true, look)
             }
-            plain is Round.Full -> claim(job, plain.seats, evict = false, term)
+            plain is Round.Full -> claim(job, plain.seats, evict = false, look)
             plain is Round.Short -> park(job, "short: assumed ${plain.assumed}, left ${plain.left}")
         }
     }
@@ -122,14 +175,11 @@
     private fun fetchS(job: Job, r: Round.Full): Double =
         r.seats.values.mapNotNull { hub.world.flavors[it.machine.flavor]?.fetchGbPerS }.minOrNull()?.let { job.spec.pullGb / it } ?: 0.0
 
-    private fun waitsForWarm(job: Job, r: Round.Full): Boolean {
+    private fun waitsForWarm(job: Job, r: Round.Full, look: Look): Boolean {
         val aims = hub.settings.objectives.filter { it.kind == "wait" && it.jobClass == job.spec.jobClass }.map { it.withinS }
         val w = hub.world
-        val busyWarm = w.machines.values.count { m ->
-            m.phase == MachinePhase.UP &&
-                ZoneRule.kindAllowed(job.spec, m.flavor, m.site, m.lendable) &&
-                w.hostRoom(m.name)?.let { it.state == HostState.OK && job.spec.bundle in it.images } == true &&
-                w.on(m.name).any { it.job.isGang }
+        val busyWarm = look.busyWithGangs.count { (m, room) ->
+            job.spec.bundle in room.images && ZoneRule.kindAllowed(job.spec, m.flavor, m.site, m.lendable)
         }
         val rivals = w.jobs.values.filter { it.isGang && !it.cancelled && it.placedCount == 0 && it.spec.bundle == job.spec.bundle }
             .sumOf { it.spec.shards }
@@ -140,26 +190,11 @@
         for (s in r.seats.values) s.free += job.spec.need
     }
 
-    /** The seats as they would be without the tasks that this gang may take the place of. */
-    private fun withEviction(job: Job, seats: List<Seat>, use: TeamUse, guaranteed: Boolean): List<Seat>? {
-        var any = false
-        val cleared = seats.map { s ->
-            var free = s.free
-            for (r in hub.world.on(s.machine.name)) {
-                if (r.placed.stopping || r.job.cancelled || mayEvict(job, guaranteed, r.job, use)) {
-                    free += r.job.spec.need
-                    any = true
-                }
-            }
-            Seat(s.machine, s.tenure, free, s.images, s.empty)
-        }
-        return if (any) cleared else null
-    }
-
     private fun mayEvict(job: Job, guaranteed: Boolean, other: Job, use: TeamUse) =
         !other.isGang && JobOrder.mayPreempt(job, guaranteed, other, use)
 
-    private fun claim(job: Job, seats: Map<Int, Seat>, evict: Boolean, term: ULong) {
+    private fun claim(job: Job, seats: Map<Int, Seat>, evict: Boolean, look: Look) {
+        val term = look.term
         val perHost = seats.values.groupingBy { it.machine }.eachCount()
         if (perHost.size > hub.settings.stateLimits.txnOps) return park(job, "more machines than one transaction takes")
         val conditions = HashMap(Settlement.fence(hub))
@@ -172,6 +207,7 @@
         }
         if (sent) {
             claiming[job.id] = perHost.keys.map { it.name }
+            look.claimed(perHost.keys.mapTo(HashSet()) { it.name })
         } else {
             for (s in seats.values) s.free += job.spec.need
             log.debug("job={} claim waits for the write budget", job.id)
@@ -262,6 +298,9 @@
         const val PARK_REPORTS = 0.25
         const val MOST_DOUBLINGS = 4
 
+        /** A gang that has waited this share of [JobOrder.BEGIN_S] has room gathered for it. */
+        const val GATHER_SHARE = 0.2
+
         /** Claimed machines get this many report intervals for halted tasks to leave. */
         const val CLAIM_REPORTS = 4.0
     }
--- a/src/main/kotlin/flaxfield/jobs/JobDesk.kt
+++ b/src/main/kotlin/flaxfield/jobs/JobDesk.kt
@@ -7,11 +7,13 @@
 import flaxfield.net.Body
 import flaxfield.net.Reply
 import flaxfield.node.Hub
+import flaxfield.settings.StateLimits
 import flaxfield.store.Cause
 import flaxfield.store.Change
 import flaxfield.store.Keys
 import flaxfield.store.Outcome
 import flaxfield.store.Read
+import flaxfield.store.Sizes
 import flaxfield.store.Txn
 import org.slf4j.LoggerFactory
 
@@ -27,7 +29,7 @@
     private val waiters = ArrayList<Waiter>()
     private var confirming = false
     private var nextConfirmNs = 0L
-    private val chunkTasks = (hub.settings.stateLimits.valueKb * KB * CHUNK_SHARE / RECORD_BYTES).toInt().coerceAtLeast(1)
+    private val chunkTasks = chunkTasks(hub.settings.stateLimits)
 
     fun submit(body: ByteArray, reply: Reply) {
         val spec = try {
@@ -36,6 +38,9 @@
             log.info("submission refused: {}", e.message)
             return answer(reply, 400, mapOf("error" to (e.message ?: "malformed")))
         }
+        if (Sizes.json(JobCodec.encodeSpec(spec)) > hub.settings.stateLimits.valueKb * KB * SPEC_SHARE) {
+            return answer(reply, 400, mapOf("error" to "flavors is too long"))
+        }
         val old = finished.getIfPresent(spec.id)
         if (old != null) return answer(reply, 200, JobCodec.status(old))
         if (hub.world.jobs.containsKey(spec.id)) return status(spec.id, reply)
@@ -92,6 +97,10 @@
         confirmed(id, reply) { job ->
             if (job != null) {
                 answer(reply, 200, JobCodec.status(job))
+            } else if (hub.world.stamp(Keys.JOB + id) != 0uL) {
+                // Its record is there and can't be read: accepted all the same, and never to be called unknown.
+                log.error("job={} has a record that can't be read", id)
+                answer(reply, 200, mapOf("id" to id, "phase" to "pending"))
             } else {
                 over(id, reply, { answer(reply, 200, JobCodec.status(it)) }) {
                     answer(reply, 404, mapOf("error" to "no such job"))
@@ -229,24 +238,30 @@
     /** Reads for polls take at most this share of the node's part of the state service's rate. */
     private val confirmGapNs = (NS_PER_S / (hub.settings.stateLimits.rps * CONFIRM_SHARE / hub.settings.size)).toLong()
 
-    private companion object {
-        val log = LoggerFactory.getLogger("flaxfield.jobs")
-        const val KB = 1024
+    companion object {
+        /** How many tasks' records share a value; the first chunk shares it with the job itself. */
+        fun chunkTasks(limits: StateLimits): Int = (limits.valueKb * KB * CHUNK_SHARE / RECORD_BYTES).toInt().coerceAtLeast(1)
+
+        private val log = LoggerFactory.getLogger("flaxfield.jobs")
+        private const val KB = 1024
 
         /** Half a value for placed tasks; the rest is for the job itself, done ranges and growth. */
-        const val CHUNK_SHARE = 0.5
+        private const val CHUNK_SHARE = 0.5
+
+        /** What the job as submitted may take of its value. */
+        private const val SPEC_SHARE = 0.3
 
         /** A placed task's record as the store counts it: index, attempt, host, tenure, flag. */
-        const val RECORD_BYTES = 40
-        const val CANCEL_TRIES = 6
-        const val MOST_WAITERS = 512
+        private const val RECORD_BYTES = 40
+        private const val CANCEL_TRIES = 6
+        private const val MOST_WAITERS = 512
 
         /** Users wait 2 s for a poll's answer. */
-        const val CONFIRM_MS = 1_500
-        const val CONFIRM_SHARE = 0.25
-        const val AWAY_SHARE = 0.25
-        const val RETRY_AFTER_S = 1
-        const val NS_PER_MS = 1_000_000L
-        const val NS_PER_S = 1e9
+        private const val CONFIRM_MS = 1_500
+        private const val CONFIRM_SHARE = 0.25
+        private const val AWAY_SHARE = 0.25
+        private const val RETRY_AFTER_S = 1
+        private const val NS_PER_MS = 1_000_000L
+        private const val NS_PER_S = 1e9
     }
 }
--- a/src/main/kotlin/flaxfield/jobs/Settlement.kt
+++ b/src/main/kotlin/flaxfield/jobs/Settlement.kt
@@ -1,6 +1,7 @@
 package flaxfield.jobs
 
 import flaxfield.node.Hub
+import flaxfield.settings.StateLimits
 import flaxfield.store.Cause
 import flaxfield.store.Change
 import flaxfield.store.Keys
@@ -10,12 +11,17 @@
 
 /** Commits proofs about tasks to their jobs' records, and closes jobs that are over. */
 class Settlement(private val hub: Hub) {
-    private val pending = LinkedHashMap<String, LinkedHashMap<Pair<Int, Long>, TaskEvent>>()
+    /** Proofs about one job that the view does not show yet. */
+    private class Proofs(var sinceNs: Long) {
+        val events = LinkedHashMap<Pair<Int, Long>, TaskEvent>()
+    }
+
+    private val pending = LinkedHashMap<String, Proofs>()
 
     /** Takes a proof; it is kept until the view shows that the record has moved on. */
     fun add(e: TaskEvent) {
-        pending.getOrPut(e.job) { LinkedHashMap() }[e.index to e.attempt] = e
-        hub.dirty = true
+        val known = pending.getOrPut(e.job) { Proofs(hub.nowNs) }.events.put(e.index to e.attempt, e)
+        if (known == null) hub.dirty = true
     }
 
     /** Sends what can be sent now. */
@@ -24,28 +30,47 @@
         if (!hub.mayDecide()) return
         val jobs = pending.iterator()
         while (jobs.hasNext()) {
-            val (id, events) = jobs.next()
+            val (id, proofs) = jobs.next()
             val job = hub.world.jobs[id]
-            events.values.removeIf { job?.placed(it.index)?.attempt != it.attempt }
-            if (job == null || events.isEmpty()) {
+            proofs.events.values.removeIf { job?.placed(it.index)?.attempt != it.attempt }
+            if (job == null || proofs.events.isEmpty()) {
                 jobs.remove()
                 continue
             }
-            settle(job, events.values.toList(), term)
+            val events = proofs.events.values.toList()
+            val hurry = hurry(job, events)
+            if (!hurry && !gathered(proofs)) continue
+            if (settle(job, events, term, if (hurry) Cause.FINISH else Cause.PROOF)) proofs.sinceNs = hub.nowNs
         }
         if (hub.leads()) sweep()
     }
 
-    private fun settle(job: Job, events: List<TaskEvent>, term: ULong) {
-        if (job.chunks.keys.any { hub.isBusy(Keys.chunk(job.id, it)) }) return
+    /** Whether someone waits for just this: a task to start again, a gang, or the end of this part's share of the job. */
+    private fun hurry(job: Job, events: List<TaskEvent>): Boolean = job.isGang || job.cancelled ||
+        events.any { it is TaskEvent.Left } ||
+        events.size >= job.placedCount || events.size >= job.allPlaced().count { mine(it.host) }
+
+    private fun mine(host: String) = hub.world.machines[host]?.let { hub.owns(it) } ?: true
+
+    /** Ends of an array's tasks gather for a while: several of them are one write. */
+    private fun gathered(proofs: Proofs): Boolean {
+        val wanted = hub.world.jobs.values.any { !it.cancelled && it.pendingCount > 0 }
+        val wait = hub.settings.workers.reportS * if (wanted) WANTED_REPORTS else GATHER_REPORTS
+        val due = proofs.sinceNs + (wait * NS).toLong()
+        if (hub.nowNs < due) hub.wakeAt(due)
+        return hub.nowNs >= due
+    }
+
+    private fun settle(job: Job, all: List<TaskEvent>, term: ULong, cause: Cause): Boolean {
+        if (job.chunks.keys.any { hub.isBusy(Keys.chunk(job.id, it)) }) return false
+        // As many chunks as one transaction holds; the others follow in the next.
+        val some = all.mapTo(LinkedHashSet()) { it.index / job.chunkTasks }.take(chunksAtOnce(hub.settings.stateLimits)).toSet()
+        val events = all.filter { it.index / job.chunkTasks in some }
         val next = Settle.apply(job, events, hub.nowMs, (hub.settings.workers.reportS * BACKOFF_REPORTS * MS).toLong())
-        if (next === job) return
+        if (next === job) return false
         val over = next.complete || (next.cancelled && next.placedCount == 0)
         val txn = if (over) over(hub, next, aborted = !next.complete || next.cancelled, fenced = true) else write(job, next, term)
-        if (txn.changes.size > hub.settings.stateLimits.txnOps) {
-            log.error("job={} needs {} changes at once, which the state service does not take", job.id, txn.changes.size)
-        }
-        hub.commit(Cause.FINISH, txn) { outcome ->
+        return hub.commit(cause, txn) { outcome ->
             if (outcome is Outcome.Committed) {
                 for (e in events) log.info("job={} task={} attempt={} term={} {}", e.job, e.index, e.attempt, term, describe(e))
                 if (over) log.info("job={} over done={} cancelled={}", next.id, next.doneCount, next.cancelled)
@@ -78,6 +103,20 @@
         /** A job that fails everywhere is tried again after this many report intervals, then twice as many. */
         private const val BACKOFF_REPORTS = 2
         private const val MS = 1000
+        private const val NS = 1e9
+
+        /** Ends gather for so many report intervals while some job waits for room, */
+        private const val WANTED_REPORTS = 0.4
+
+        /** and for so many while none does. */
+        private const val GATHER_REPORTS = 1.5
+
+        /** PROTOCOL-flaxfield.md: a transaction's size in all. */
+        private const val TXN_KB = 64.0
+
+        /** How many chunks of one job a transaction may change besides its head, each at most a value in size. */
+        fun chunksAtOnce(limits: StateLimits): Int =
+            minOf(limits.txnOps / 2, (TXN_KB / limits.valueKb).toInt() - 1).coerceAtLeast(1)
 
         /** The condition that every decision's transaction carries: the assignment it was made under. */
         fun fence(hub: Hub): Map<String, ULong> = mapOf(Keys.ASSIGNMENT to hub.world.stamp(Keys.ASSIGNMENT))
--- a/src/main/kotlin/flaxfield/node/Controller.kt
+++ b/src/main/kotlin/flaxfield/node/Controller.kt
@@ -7,6 +7,7 @@
 import flaxfield.gangs.GangDesk
 import flaxfield.jobs.JobDesk
 import flaxfield.jobs.Settlement
+import flaxfield.jobs.StallDesk
 import flaxfield.members.Member
 import flaxfield.members.MemberDesk
 import flaxfield.net.Body
@@ -73,6 +74,7 @@
     private val gangs = GangDesk(hub)
     private val arrays = ArrayDesk(hub, workers)
     private val fleet = FleetDesk(hub, CloudClient(outside.cloud, CLOUD_TIMEOUT_MS), settlement)
+    private val stalls = StallDesk(hub, settlement)
     private val follower = Follower(hub, jobs, workers)
 
     private var nextTickNs = 0L
@@ -103,7 +105,7 @@
             nextTickNs = now + TICK_MS * NS_PER_MS
             tick()
         }
-        if ((hub.dirty && now >= nextDecideNs) || now >= decideAnywayNs) {
+        if ((hub.dirty || now >= hub.wakeNs) && now >= nextDecideNs || now >= decideAnywayNs) {
             nextDecideNs = now + DECIDE_GAP_MS * NS_PER_MS
             decideAnywayNs = now + DECIDE_ANYWAY_MS * NS_PER_MS
             decide()
@@ -119,7 +121,7 @@
                 on(r, "POST") { jobs.cancel(path.removePrefix("/work/").removeSuffix("/cancel"), r.reply) }
             path.startsWith("/work/") -> on(r, "GET") { jobs.status(path.removePrefix("/work/"), r.reply) }
             path == "/ready" -> on(r, "GET") { r.reply.send(if (ready()) 200 else 503, Body.EMPTY, null) }
-            path == "/metrics" -> on(r, "GET") { r.reply.send(200, Body(metrics.text().toByteArray(), "text/plain"), null) }
+            path == "/metrics" -> on(r, "GET") { r.reply.send(200, Body((metrics.text() + hub.counts.text()).toByteArray(), "text/plain"), null) }
             else -> r.reply.send(404, Body(Wire.encode(mapOf("error" to "no such path")), Body.CBOR), null)
         }
     }
@@ -133,7 +135,8 @@
     private fun ready(): Boolean {
         if (!follower.synced) return false
         val away = hub.nowNs - hub.stateOkNs > settings.workers.leaseS * AWAY_SHARE * NS_PER_S
-        return !away || !peers.stateOkElsewhere()
+        // Peers that are silent as well tell that we are cut off, not that all are.
+        return !away || !peers.stateOkElsewhere() && (settings.peers.isEmpty() || peers.heard())
     }
 
     private fun peer(c: Command.Peer) {
@@ -150,23 +153,31 @@
     }
 
     private fun tick() {
-        safely { members.tick() }
-        safely { follower.tick() }
-        safely { workers.tick() }
-        safely { jobs.tick() }
-        safely { peers.tick() }
-        safely { fleet.run() }
+        safely { hub.shareBudget() }
+        duty("members") { members.tick() }
+        duty("follower") { follower.tick() }
+        duty("workers") { workers.tick() }
+        duty("jobs") { jobs.tick() }
+        duty("peers") { peers.tick() }
+        duty("stalls") { stalls.tick() }
+        duty("fleet") { fleet.run() }
     }
 
     private fun decide() {
-        hub.dirty = false
+        hub.awake()
         hub.caughtUp()
         safely { workers.noteTerm() }
-        safely { hub.noteReserved() }
-        safely { settlement.run() }
-        safely { gangs.run() }
-        safely { arrays.run() }
-        safely { workers.haltNow() }
+        duty("reserved") { hub.noteReserved() }
+        duty("settlement") { settlement.run() }
+        duty("gangs") { gangs.run() }
+        duty("arrays") { arrays.run() }
+        duty("halts") { workers.haltNow() }
+    }
+
+    private inline fun duty(name: String, block: () -> Unit) {
+        val startNs = System.nanoTime()
+        safely(block)
+        hub.counts.spent(name, System.nanoTime() - startNs)
     }
 
     /** No fault in one command ends the process. */
--- /dev/null
+++ b/src/main/kotlin/flaxfield/node/Counts.kt
@@ -0,0 +1,45 @@
+package flaxfield.node
+
+import flaxfield.store.Cause
+import flaxfield.store.Outcome
+
+/** What the owner thread counts; plain numbers, read by [Metrics] when it is asked. */
+class Counts {
+    private val changes = LongArray(Cause.entries.size)
+    private var conflicts = 0L
+    private var refusals = 0L
+    private var unknown = 0L
+
+    /** Time the owner thread spent on each of its duties, in nanoseconds. */
+    private val spentNs = LinkedHashMap<String, Long>()
+
+    fun written(cause: Cause, n: Int) {
+        changes[cause.ordinal] += n.toLong()
+    }
+
+    fun outcome(o: Outcome) {
+        when (o) {
+            is Outcome.Committed -> Unit
+            is Outcome.Conflict -> conflicts++
+            is Outcome.Refused -> refusals++
+            is Outcome.Unknown -> unknown++
+        }
+    }
+
+    fun spent(duty: String, ns: Long) {
+        spentNs.merge(duty, ns, Long::plus)
+    }
+
+    /** One line a figure, as `GET /metrics` shows them. */
+    fun text(): String = buildString {
+        for (c in Cause.entries) append("flaxfield_changes{cause=\"${c.name.lowercase()}\"} ${changes[c.ordinal]}\n")
+        append("flaxfield_transactions_conflict $conflicts\n")
+        append("flaxfield_transactions_refused $refusals\n")
+        append("flaxfield_transactions_unknown $unknown\n")
+        for ((duty, ns) in spentNs) append("flaxfield_duty_seconds{duty=\"$duty\"} ${ns / NS}\n")
+    }
+
+    private companion object {
+        const val NS = 1e9
+    }
+}
--- a/src/main/kotlin/flaxfield/node/Hub.kt
+++ b/src/main/kotlin/flaxfield/node/Hub.kt
@@ -3,14 +3,18 @@
 import flaxfield.arrays.Reserved
 import flaxfield.fleet.Machine
 import flaxfield.members.Member
+import flaxfield.quota.TeamUse
 import flaxfield.settings.OperatorSettings
 import flaxfield.settings.Settings
 import flaxfield.store.Budget
 import flaxfield.store.Cause
 import flaxfield.store.Outcome
+import flaxfield.store.Share
+import flaxfield.store.Sizes
 import flaxfield.store.StoreClient
 import flaxfield.store.Txn
 import flaxfield.store.World
+import org.slf4j.LoggerFactory
 
 /** Steady and daily time; tests set their own. */
 interface Clock {
@@ -41,6 +45,10 @@
     /** Keys that a transaction of ours is changing: null while it is open, else the ledger to wait for. */
     private val busy = HashMap<String, ULong?>()
 
+    /** Keys whose last value was too big to write, and until when they are left alone. */
+    private val heldBack = HashMap<String, Long>()
+    val counts = Counts()
+
     /** Machine types whose ordinary kind is left to jobs that can use no other. */
     val reserved = Reserved()
 
@@ -56,6 +64,20 @@
     /** Something changed that decisions depend on. */
     var dirty = true
 
+    /** A decision is due then though nothing changes. */
+    var wakeNs = Long.MAX_VALUE
+        private set
+
+    fun wakeAt(ns: Long) {
+        if (ns < wakeNs) wakeNs = ns
+    }
+
+    /** A decision begins: what it waits for it asks for again. */
+    fun awake() {
+        dirty = false
+        wakeNs = Long.MAX_VALUE
+    }
+
     val nowNs: Long get() = clock.steadyNs()
     val nowMs: Long get() = clock.dayMs()
 
@@ -73,11 +95,48 @@
 
     fun leads(): Boolean = mayDecide() && world.assignment?.leader?.same(me) == true && world.leader?.same(me) == true
 
+    /** Owners under one term, as they were first asked for: a hash over every machine each turn costs too much. */
+    private val owners = HashMap<String, String?>()
+    private var ownersTerm: ULong? = null
+    private var mine: List<Machine> = emptyList()
+    private var mineAt = -1L
+
+    /** The member whose part [host], which lies in [site], belongs to. */
+    fun owner(host: String, site: String): String? {
+        val assignment = world.assignment ?: return null
+        if (assignment.term != ownersTerm || owners.size > OWNERS_KEPT) {
+            owners.clear()
+            ownersTerm = assignment.term
+            mineAt = -1L
+        }
+        return owners.getOrPut(host) { assignment.owner(host, site) }
+    }
+
     /** Whether [host], which lies in [site], belongs to this node's part. */
-    fun owns(host: String, site: String): Boolean = world.assignment?.owner(host, site) == me.name
+    fun owns(host: String, site: String): Boolean = owner(host, site) == me.name
 
     fun owns(m: Machine): Boolean = owns(m.name, m.site)
 
+    /** The machines of this node's part. */
+    fun mine(): List<Machine> {
+        if (mineAt != world.machinesVersion || ownersTerm != world.assignment?.term) {
+            mine = world.machines.values.filter { owns(it) }
+            mineAt = world.machinesVersion
+        }
+        return mine
+    }
+
+    /** What the teams use now; the caller may add to it. */
+    fun use(): TeamUse = world.use(settings.teams)
+
+    fun guaranteed(): Set<String> = world.guaranteed(settings.teams)
+
+    /** Takes the parts of the state service's limits that this node's duties give it now. */
+    fun shareBudget() {
+        val members = world.assignment?.members?.size ?: 0
+        budget.share(Share.of(settings.size, members, mayDecide(), leads()))
+    }
+
     fun isBusy(key: String): Boolean = busy.containsKey(key)
 
     /** Drops the marks that the view has caught up with. */
@@ -90,7 +149,17 @@
      * until the view shows the outcome. [done] runs on the owner thread.
      */
     fun commit(cause: Cause, txn: Txn, done: (Outcome) -> Unit = {}): Boolean {
+        if (heldBack.isNotEmpty() && txn.changes.any { (heldBack[it.key] ?: 0L) > nowNs }) return false
+        val fault = Sizes.fault(txn, settings.stateLimits)
+        if (fault != null) {
+            // A defect: what is too big is split by whoever writes it. Tried each turn, it would only cost the turns.
+            log.error("keys={} can't be written: {}", txn.changes.map { it.key }, fault)
+            if (heldBack.size > OWNERS_KEPT) heldBack.clear()
+            for (c in txn.changes) heldBack[c.key] = nowNs + (settings.workers.cancelS * NS).toLong()
+            return false
+        }
         if (!budget.take(cause, txn.changes.size, nowNs)) return false
+        counts.written(cause, txn.changes.size)
         for (c in txn.changes) busy[c.key] = null
         store.txn(txn) { outcome ->
             post {
@@ -108,6 +177,7 @@
             // Whatever comes of it, its conditions hold it to the stamps we knew: deciding again is safe.
             else -> null
         }
+        counts.outcome(outcome)
         if (until != null) stateOk()
         for (c in txn.changes) {
             if (until == null || until <= world.ledger) busy.remove(c.key) else busy[c.key] = until
@@ -116,7 +186,13 @@
     }
 
     private companion object {
+        val log = LoggerFactory.getLogger("flaxfield.store")
+        const val NS = 1e9
+
         /** As long as the fleet looks back on arrivals. */
         const val RESERVED_MS = 180_000L
+
+        /** Names heard of and not known are forgotten with the rest at this many. */
+        const val OWNERS_KEPT = 4_000
     }
 }
--- a/src/main/kotlin/flaxfield/peers/PeerDesk.kt
+++ b/src/main/kotlin/flaxfield/peers/PeerDesk.kt
@@ -30,7 +30,13 @@
         if (m is PeerMessage.Relayed) pending.remove(m.id)?.done?.invoke(m.status, m.body)
     }
 
+    private val heardNs = HashMap<String, Long>()
+
+    /** Whether some peer has been heard of late. */
+    fun heard(): Boolean = heardNs.values.any { hub.nowNs - it < hub.settings.workers.reportS * FRESH_REPORTS * NS }
+
     fun pulse(m: PeerMessage.Pulse) {
+        heardNs[m.from] = hub.nowNs
         if (m.stateAgeMs <= hub.settings.workers.reportS * MS) stateOkElsewhereNs[m.from] = hub.nowNs
     }
 
--- a/src/main/kotlin/flaxfield/quota/Quota.kt
+++ b/src/main/kotlin/flaxfield/quota/Quota.kt
@@ -5,13 +5,13 @@
 import flaxfield.settings.Team
 
 /** What each team's task records take now, old attempts included: a record lasts until proof. */
-class TeamUse(jobs: Collection<Job>, private val teams: Map<String, Team>) {
-    private val used = HashMap<String, Room>()
-
-    init {
+class TeamUse private constructor(private val teams: Map<String, Team>, private val used: HashMap<String, Room>) {
+    constructor(jobs: Collection<Job>, teams: Map<String, Team>) : this(teams, HashMap()) {
         for (j in jobs) if (j.placedCount > 0) add(j.spec.owner, j.spec.need * j.placedCount)
     }
 
+    fun copy() = TeamUse(teams, HashMap(used))
+
     fun of(team: String): Room = used[team] ?: Room.NONE
 
     fun add(team: String, room: Room) {
@@ -68,9 +68,23 @@
         return result
     }
 
-    /** Guarantee first, then priority, then the team that uses the least share, then age. */
-    fun sort(jobs: Collection<Job>, guaranteed: Set<String>, use: TeamUse): List<Job> = jobs.sortedWith(
-        compareBy<Job> { if (it.id in guaranteed) 0 else 1 }
+    /** The operators ask that each class's largest jobs begin within four minutes. */
+    const val BEGIN_S = 240.0
+
+    /** A job that has waited this share of them without any task begun comes before all order. */
+    private const val LATE_SHARE = 0.5
+    private const val MS = 1000
+
+    /** Jobs submitted before this and not begun are late. */
+    fun lateMs(nowMs: Long): Long = nowMs - (BEGIN_S * LATE_SHARE * MS).toLong()
+
+    /**
+     * Guarantee first, then priority, then the team that uses the least share, then age. Before all of these
+     * come jobs submitted before [lateMs] that have not begun: none of the orders may starve one for ever.
+     */
+    fun sort(jobs: Collection<Job>, guaranteed: Set<String>, use: TeamUse, lateMs: Long = 0): List<Job> = jobs.sortedWith(
+        compareBy<Job> { if (it.submittedMs < lateMs && it.placedCount == 0 && it.doneCount == 0) 0 else 1 }
+            .thenBy { if (it.id in guaranteed) 0 else 1 }
             .thenByDescending { it.spec.urgency.ordinal }
             .thenBy { use.share(it.spec.owner) }
             .thenBy { it.submittedMs }
--- a/src/main/kotlin/flaxfield/store/Budget.kt
+++ b/src/main/kotlin/flaxfield/store/Budget.kt
@@ -12,10 +12,13 @@
     FINISH(0.0),
     SUBMIT(0.0),
     GANG(0.1),
-    FLEET(0.2),
-    ARRAY(0.25),
+    FLEET(0.15),
+    ARRAY(0.2),
+    ROOM(0.25),
     READ(0.3),
-    ROOM(0.4),
+
+    /** Ends of single tasks of an array: they may gather, so that one write tells several. */
+    PROOF(0.35),
 }
 
 /**
@@ -23,7 +26,10 @@
  * the most important causes only, so a burst of submissions never costs a lease.
  */
 class Budget(limits: StateLimits, nodes: Int) {
-    private class Bucket(val rate: Double) {
+    private class Bucket(private val whole: Double, nodes: Int) {
+        var rate = whole / nodes
+            private set
+
         /** The service allows one second's worth; we hold as much of our own share. */
         var tokens = rate
         var at = 0L
@@ -34,6 +40,11 @@
             at = nowNs
         }
 
+        fun share(part: Double) {
+            rate = whole * part
+            tokens = minOf(tokens, rate)
+        }
+
         fun allows(cost: Int, reserve: Double) = tokens - cost >= reserve * rate
 
         fun take(cost: Int) {
@@ -41,8 +52,14 @@
         }
     }
 
-    private val requests = Bucket(limits.rps * SAFE_SHARE / nodes)
-    private val writes = Bucket(limits.writeRps * SAFE_SHARE / nodes)
+    private val requests = Bucket(limits.rps * SAFE_SHARE, nodes)
+    private val writes = Bucket(limits.writeRps * SAFE_SHARE, nodes)
+
+    /** From here on the node holds itself to these parts of the two limits. */
+    fun share(s: Share) {
+        requests.share(s.requests)
+        writes.share(s.writes)
+    }
 
     /** Takes one request with [puts] changes if its cause may have it now. */
     fun take(cause: Cause, puts: Int, nowNs: Long): Boolean {
@@ -63,3 +80,26 @@
         const val NS = 1e9
     }
 }
+
+/** The parts of the state service's two limits that one node may use. */
+data class Share(val requests: Double, val writes: Double) {
+    companion object {
+        /** Kept for each node that is no member now: it reads the view and renews its lease. */
+        private const val OUTSIDE = 0.08
+
+        /** The leader writes gangs, claims and the fleet besides its own part: it counts as two. */
+        private const val LEADER_COUNTS = 2
+
+        /**
+         * Pure. A node counts by the assignment it acts under, and only while its own lease is surely valid: a
+         * member that is given up has fallen back to [OUTSIDE] before the others' parts grow, so that the sum
+         * stays within the limits also during a takeover.
+         */
+        fun of(size: Int, members: Int, member: Boolean, leads: Boolean): Share {
+            if (!member || members <= 0) return Share(OUTSIDE, OUTSIDE)
+            val pool = 1.0 - OUTSIDE * (size - members).coerceAtLeast(0)
+            val heads = members - 1 + LEADER_COUNTS
+            return Share(pool / members, pool * (if (leads) LEADER_COUNTS else 1) / heads)
+        }
+    }
+}
--- a/src/main/kotlin/flaxfield/store/Keys.kt
+++ b/src/main/kotlin/flaxfield/store/Keys.kt
@@ -18,5 +18,8 @@
     /** Never written: a read of it tells the current ledger at the price of one request. */
     const val NOTHING = "none"
 
+    /** One page of a part's summary. */
+    fun room(part: String, page: Int): String = "$ROOM$part/$page"
+
     fun chunk(job: String, number: Int): String = if (number == 0) JOB + job else "$PART$job/$number"
 }
--- a/src/main/kotlin/flaxfield/store/World.kt
+++ b/src/main/kotlin/flaxfield/store/World.kt
@@ -16,6 +16,9 @@
 import flaxfield.members.Assignment
 import flaxfield.members.Member
 import flaxfield.members.MemberCodec
+import flaxfield.settings.Team
+import flaxfield.quota.JobOrder
+import flaxfield.quota.TeamUse
 import org.slf4j.LoggerFactory
 
 /** A task's record on a host, with its job. */
@@ -33,7 +36,10 @@
     val machines = HashMap<String, Machine>()
     val members = HashMap<String, Member>()
     val hires = HashMap<String, Hire>()
-    val rooms = HashMap<String, RoomSummary>()
+    private val rooms = HashMap<String, RoomSummary>()
+
+    /** Each machine's row in the summary written under the latest term. */
+    private val hostRooms = HashMap<String, SummaryRow>()
     var flavors: Map<String, Flavor> = emptyMap()
         private set
     var flavorsAtMs: Long = 0
@@ -45,7 +51,26 @@
 
     /** Chunks whose head is not in the view: listed before their head, or left over by a finished job. */
     val strayChunks = HashMap<String, Chunk>()
-    private val placedOn = HashMap<String, HashMap<String, Int>>()
+
+    /**
+     * Task records by host and job, kept with each change: a report of one machine, or a look at its free
+     * room, must not cost a walk over every record of the jobs on it.
+     */
+    private val placedOn = HashMap<String, HashMap<String, HashMap<Int, Placed>>>()
+    private val freeOn = HashMap<String, Room>()
+
+    /** Jobs of which some task is to leave its machine: cancelled, or told to stop. */
+    val halting = HashSet<String>()
+
+    /** Grow with each change of a job or of a machine: what is derived from them is kept as long. */
+    var jobsVersion = 0L
+        private set
+    var machinesVersion = 0L
+        private set
+    private var useAt = -1L
+    private var baseUse: TeamUse? = null
+    private var guaranteedAt = -1L
+    private var guaranteedIds: Set<String> = emptySet()
 
     fun stamp(key: String): ULong = stamps[key] ?: 0uL
 
@@ -61,8 +86,13 @@
         members.clear()
         hires.clear()
         rooms.clear()
+        hostRooms.clear()
         strayChunks.clear()
         placedOn.clear()
+        freeOn.clear()
+        halting.clear()
+        jobsVersion++
+        machinesVersion++
         flavors = emptyMap()
         assignment = null
         leader = null
@@ -89,14 +119,18 @@
         when {
             key.startsWith(Keys.JOB) -> setHead(key.removePrefix(Keys.JOB), value, stamp)
             key.startsWith(Keys.PART) -> setPart(key.removePrefix(Keys.PART), value, stamp)
-            key.startsWith(Keys.HOST) -> set(machines, key.removePrefix(Keys.HOST), value) { FleetCodec.machine(it, key, stamp) }
-            key.startsWith(Keys.ROOM) -> set(rooms, key.removePrefix(Keys.ROOM), value) { RoomCodec.decode(it) }
+            key.startsWith(Keys.HOST) -> {
+                machinesVersion++
+                set(machines, key.removePrefix(Keys.HOST), value) { FleetCodec.machine(it, key, stamp) }
+            }
+            key.startsWith(Keys.ROOM) -> setRoom(key, value?.let(RoomCodec::decode))
             key.startsWith(Keys.MEMBER) -> set(members, key.removePrefix(Keys.MEMBER), value) { MemberCodec.member(it) }
             key.startsWith(Keys.HIRE) -> set(hires, key.removePrefix(Keys.HIRE), value) { FleetCodec.hire(it, key, stamp) }
             key == Keys.ASSIGNMENT -> assignment = value?.let { MemberCodec.assignment(it, stamp) }
             key == Keys.LEADER -> leader = value?.let { MemberCodec.member(it) }
             key == Keys.TYPES -> {
                 flavors = value?.let(FleetCodec::flavors).orEmpty()
+                freeOn.clear()
                 flavorsAtMs = value?.count("at")?.toLong() ?: 0
             }
         }
@@ -140,49 +174,100 @@
         replace(id, job, job.copy(chunks = if (chunk == null) job.chunks - number else job.chunks + (number to chunk)))
     }
 
+    private fun setRoom(key: String, new: RoomSummary?) {
+        val old = if (new == null) rooms.remove(key) else rooms.put(key, new)
+        old?.hosts?.forEach { (host, room) -> if (hostRooms[host]?.room === room) hostRooms.remove(host) }
+        new?.hosts?.forEach { (host, room) ->
+            val held = hostRooms[host]
+            if (held == null || held.term <= new.term) hostRooms[host] = SummaryRow(new.term, room)
+        }
+    }
+
     private fun replace(id: String, old: Job?, new: Job?) {
-        old?.allPlaced()?.forEach { p ->
-            val counts = placedOn[p.host]
-            if (counts != null) {
-                val left = (counts[id] ?: 0) - 1
-                if (left <= 0) counts.remove(id) else counts[id] = left
-                if (counts.isEmpty()) placedOn.remove(p.host)
-            }
+        jobsVersion++
+        for (n in old?.chunks?.keys.orEmpty() + new?.chunks?.keys.orEmpty()) {
+            val was = old?.chunks?.get(n)?.placed
+            val now = new?.chunks?.get(n)?.placed
+            if (was === now && old?.spec?.need == new?.spec?.need) continue
+            was?.values?.forEach { p -> if (now?.get(p.index) != p) leaves(id, p) }
+            now?.values?.forEach { p -> if (was?.get(p.index) != p) enters(id, p) }
         }
-        new?.allPlaced()?.forEach { p -> placedOn.getOrPut(p.host) { HashMap() }.merge(id, 1, Int::plus) }
         if (new == null) jobs.remove(id) else jobs[id] = new
+        val halts = new != null && new.placedCount > 0 && (new.cancelled || new.allPlaced().any { it.stopping })
+        if (halts) halting += id else halting -= id
+    }
+
+    private fun leaves(id: String, p: Placed) {
+        freeOn.remove(p.host)
+        val jobsThere = placedOn[p.host] ?: return
+        val tasks = jobsThere[id] ?: return
+        if (tasks[p.index]?.attempt == p.attempt) tasks.remove(p.index)
+        if (tasks.isEmpty()) jobsThere.remove(id)
+        if (jobsThere.isEmpty()) placedOn.remove(p.host)
+    }
+
+    private fun enters(id: String, p: Placed) {
+        freeOn.remove(p.host)
+        placedOn.getOrPut(p.host) { HashMap() }.getOrPut(id) { HashMap() }[p.index] = p
     }
 
     /** All task records on [host]. */
     fun on(host: String): List<OnHost> {
-        val ids = placedOn[host]?.keys ?: return emptyList()
-        return ids.flatMap { id ->
-            val job = jobs[id] ?: return@flatMap emptyList()
-            job.allPlaced().filter { it.host == host }.map { OnHost(job, it) }.toList()
+        val there = placedOn[host] ?: return emptyList()
+        val result = ArrayList<OnHost>()
+        for ((id, tasks) in there) {
+            val job = jobs[id] ?: continue
+            for (p in tasks.values) result += OnHost(job, p)
         }
+        return result
     }
 
+    fun isEmpty(host: String): Boolean = !placedOn.containsKey(host)
+
+    /** The jobs that have records on [host]. */
+    fun jobsOn(host: String): List<Job> = placedOn[host]?.keys?.mapNotNull { jobs[it] }.orEmpty()
+
+    /** How many records [job] has on [host]. */
+    fun countOn(host: String, job: String): Int = placedOn[host]?.get(job)?.size ?: 0
+
     fun hostsWithTasks(): Set<String> = placedOn.keys
 
     /** What the records leave free on a machine; null if its type is unknown. */
-    fun free(machine: Machine): Room? {
-        val flavor = flavors[machine.flavor] ?: return null
-        val ids = placedOn[machine.name] ?: return flavor.room
-        var room = flavor.room
-        for ((id, n) in ids) {
+    fun free(machine: Machine): Room? = freeOn[machine.name] ?: run {
+        var room = flavors[machine.flavor]?.room ?: return null
+        for ((id, tasks) in placedOn[machine.name].orEmpty()) {
             val job = jobs[id] ?: continue
-            room -= job.spec.need * n
+            room -= job.spec.need * tasks.size
         }
-        return room
+        freeOn[machine.name] = room
+        room
     }
 
     /** A machine's state as the summary of its owner under the current term tells it. */
-    fun hostRoom(host: String): HostRoom? {
-        val term = assignment?.term ?: return null
-        for (r in rooms.values) if (r.term == term) r.hosts[host]?.let { return it }
-        return null
+    fun hostRoom(host: String): HostRoom? = hostRooms[host]?.takeIf { it.term == assignment?.term }?.room
+
+    /** The same from whichever owner wrote of it last. */
+    fun lastRoom(host: String): HostRoom? = hostRooms[host]?.room
+
+    /** What the teams use now; the caller may add to it. */
+    fun use(teams: Map<String, Team>): TeamUse {
+        val base = baseUse?.takeIf { useAt == jobsVersion } ?: TeamUse(jobs.values, teams)
+        baseUse = base
+        useAt = jobsVersion
+        return base.copy()
+    }
+
+    /** The jobs within their team's guarantee now. */
+    fun guaranteed(teams: Map<String, Team>): Set<String> {
+        if (guaranteedAt != jobsVersion) {
+            guaranteedIds = JobOrder.guaranteed(jobs.values, teams)
+            guaranteedAt = jobsVersion
+        }
+        return guaranteedIds
     }
 
+    private class SummaryRow(val term: ULong, val room: HostRoom)
+
     private companion object {
         val log = LoggerFactory.getLogger("flaxfield.store")
     }
--- /dev/null
+++ b/src/main/kotlin/flaxfield/workers/Hearing.kt
@@ -0,0 +1,48 @@
+package flaxfield.workers
+
+/**
+ * Pure: whether our answers reach a worker. Its reports may arrive while answers and commands do not: such
+ * a machine looks alive, starts nothing, and loses its tasks with each lease.
+ */
+data class Hearing(
+    private val term: ULong = 0uL,
+    private val tenure: ULong = 0uL,
+    private val launched: List<Order.Launch> = emptyList(),
+    private val answeredNs: Long = 0,
+    /** How much speaks against it since an answer last showed an effect. */
+    val missed: Int = 0,
+) {
+    /** What a report newer than the one we answered last tells. */
+    fun reported(r: Report, term: ULong, nowNs: Long, leaseNs: Double): Hearing {
+        if (answeredNs == 0L || term != this.term) return copy(missed = 0)
+        val inLease = nowNs - answeredNs < leaseNs * IN_LEASE
+        return when {
+            // Its lease ran out within one lease of an answer of ours.
+            r.tenure > tenure -> copy(missed = if (inLease) missed + LOST_LEASE else 0)
+            r.epoch < term -> copy(missed = missed + 1)
+            launched.isEmpty() -> this
+            launched.any { l -> r.tasks.any { it.job == l.job && it.index == l.index && it.attempt == l.attempt } } -> copy(missed = 0)
+            else -> copy(missed = missed + 1)
+        }
+    }
+
+    fun answered(r: Report, term: ULong, orders: List<Order>, nowNs: Long): Hearing =
+        copy(term = term, tenure = r.tenure, launched = orders.filterIsInstance<Order.Launch>(), answeredNs = nowNs)
+
+    val deaf: Boolean get() = missed >= DEAF
+
+    companion object {
+        /** So much in a row is no chance: answers are lost now and then. */
+        const val DEAF = 4
+
+        /** A lease that ran out weighs as much as two reports. */
+        private const val LOST_LEASE = 2
+        private const val IN_LEASE = 0.9
+
+        /**
+         * If more than this share of the machines that report to us seem deaf, it is rather we who are cut off,
+         * or too slow to be heard.
+         */
+        const val MOST_DEAF = 0.5
+    }
+}
--- a/src/main/kotlin/flaxfield/workers/HostBook.kt
+++ b/src/main/kotlin/flaxfield/workers/HostBook.kt
@@ -2,16 +2,25 @@
 
 import flaxfield.arrays.HostRoom
 import flaxfield.arrays.HostState
+import flaxfield.arrays.RoomPages
 
 /** What this process has seen of one machine's worker. */
 class HostBook(val host: String) {
     var report: Report? = null
+
+    /** When a report that is a sign of life last came: one under the term of its time. */
     var reportNs: Long = 0
 
+    /** When it was first heard of, under whatever epoch. */
+    var firstNs: Long = 0
+
     /** Images in the order of their last use; the cache keeps the latest. */
     val images = LinkedHashMap<String, Double>()
     var faulty: String? = null
     var errors = 0
+
+    /** Whether our answers reach it. */
+    var hearing = Hearing()
     var pushedNs: Long = 0
     var redirectedNs: Long = 0
     var haltedNs: Long = 0
@@ -28,5 +37,5 @@
         if (images.isEmpty()) for (i in room.images) images[i] = 0.0
     }
 
-    fun room(state: HostState): HostRoom = HostRoom(state, report?.tenure ?: 0uL, report?.address.orEmpty(), images.keys.toList())
+    fun room(state: HostState): HostRoom = HostRoom(state, report?.tenure ?: 0uL, report?.address.orEmpty(), RoomPages.images(images.keys.toList()))
 }
--- a/src/main/kotlin/flaxfield/workers/WorkerDesk.kt
+++ b/src/main/kotlin/flaxfield/workers/WorkerDesk.kt
@@ -43,14 +43,14 @@
             hub.owns(report.host, report.site) -> own(report, book, term, reply)
             hub.nowNs - book.redirectedNs < hub.settings.workers.leaseS * RELAY_SHARE * NS && book.redirectedNs != 0L -> {
                 // It was sent to its owner and has come back: the owner can't be reached from there.
-                val owner = assignment.owner(report.host, report.site)
+                val owner = hub.owner(report.host, report.site)
                 peers.relay(owner, body) { status, answer ->
                     if (answer != null) reply.send(status, Body(answer, Body.CBOR), null) else keepAlive(term, reply)
                 }
             }
             else -> {
                 book.redirectedNs = hub.nowNs
-                steward(assignment.owner(report.host, report.site), reply)
+                steward(hub.owner(report.host, report.site), reply)
             }
         }
     }
@@ -76,7 +76,7 @@
         if (!behind && stateAway() && hub.nowNs - maxOf(startNs, hub.stateOkNs) < hub.settings.workers.cancelS * ALONE_SHARE * NS) {
             return keepAlive(report.epoch, reply)
         }
-        val owner = hub.world.assignment?.owner(report.host, report.site)
+        val owner = hub.owner(report.host, report.site)
         if (owner != null &&
             owner != hub.me.name
         ) {
@@ -102,16 +102,24 @@
         }
         val last = book.report
         if (last != null && !report.newerThan(last.tenure, last.tally)) return keepAlive(term, reply)
+        book.hearing = book.hearing.reported(report, term, hub.nowNs, hub.settings.workers.leaseS * NS)
+        if (book.hearing.deaf) deaf(book)
+        if (last == null) book.firstNs = hub.nowNs
         book.report = report
-        book.reportNs = hub.nowNs
-        lastReportNs = book.reportNs
+        // Under an older epoch it may be a late copy of what the machine said long ago: no sign of life. Our
+        // answer brings the worker the epoch, and it reports again at once.
+        if (report.epoch == term) {
+            book.reportNs = hub.nowNs
+            lastReportNs = book.reportNs
+        }
         if (last == null || last.tenure != report.tenure || last.warningS == null != (report.warningS == null)) {
             log.info("host={} tenure={} warning_s={} reports to us, term={}", report.host, report.tenure, report.warningS, term)
             hub.dirty = true
         }
         val machine = hub.world.machines[report.host]
         if (machine == null) {
-            adopt(report)
+            // A late copy may come from a machine that is long gone: only who knows our term is taken in.
+            if (report.epoch == term) adopt(report)
             return keepAlive(term, reply)
         }
         learn(report, book)
@@ -123,7 +131,8 @@
             blame(e, book)
             settlement.add(e)
         }
-        for (o in decision.orders) log.debug("host={} term={} order={}", report.host, term, o)
+        book.hearing = book.hearing.answered(report, term, decision.orders, hub.nowNs)
+        if (log.isDebugEnabled) for (o in decision.orders) log.debug("host={} term={} order={}", report.host, term, o)
         reply.send(200, Body(Wire.encode(ReportCodec.encode(term, decision.orders)), Body.CBOR), null)
     }
 
@@ -180,9 +189,20 @@
         }
     }
 
+    /** It gets no new work and is returned; its tasks move on the usual proofs. */
+    private fun deaf(book: HostBook) {
+        if (book.faulty != null) return
+        val heard = books.values.filter { it.reportNs > ownerSinceNs }
+        if (heard.count { it.hearing.missed > 0 } > maxOf(1.0, heard.size * Hearing.MOST_DEAF)) return
+        book.faulty = "reports, and does not hear our answers"
+        log.info("host={} taken as faulty: {}", book.host, book.faulty)
+        hub.dirty = true
+    }
+
     /** The cloud takes the machine back soon: tasks that can save are stopped, so that they go on elsewhere. */
     private fun drain(report: Report, term: ULong) {
-        for ((job, list) in hub.world.on(report.host).groupBy { it.job }) {
+        for (list in hub.world.on(report.host).groupBy { it.job.id }.values) {
+            val job = list.first().job
             if (job.spec.saveEveryS <= 0.0 || job.isGang && job.spec.shards > 1 && list.size == job.spec.shards) continue
             stop(job.id, list.filter { !it.placed.stopping }.map { it.placed.index }, term, "notice on ${report.host}")
         }
@@ -201,7 +221,13 @@
     fun haltNow() {
         val term = hub.term() ?: return
         if (!hub.mayDecide()) return
-        for ((host, book) in books) {
+        if (hub.world.halting.isEmpty()) return
+        val hosts = hub.world.halting.flatMapTo(LinkedHashSet()) { id ->
+            val job = hub.world.jobs[id]
+            job?.allPlaced()?.filter { job.cancelled || it.stopping }?.map { it.host }?.toList().orEmpty()
+        }
+        for (host in hosts) {
+            val book = books[host] ?: continue
             val report = book.report ?: continue
             if (report.tasks.isEmpty() || !hub.owns(host, report.site)) continue
             if (hub.nowNs - book.haltedNs < hub.settings.workers.reportS * NS) continue
@@ -225,12 +251,10 @@
         val report = book?.report
         return when {
             book?.faulty != null -> HostState.FAULTY
-            report == null || book.reportNs < ownerSinceNs -> if (silent(ownerSinceNs) &&
-                expected(host)
-            ) {
-                HostState.SILENT
-            } else {
-                HostState.UNSEEN
+            report == null || book.reportNs == 0L || book.reportNs < ownerSinceNs -> {
+                // A machine that just came up has told us of itself, but not yet under our term.
+                val since = maxOf(ownerSinceNs, book?.firstNs ?: 0L)
+                if (silent(since) && expected(host)) HostState.SILENT else HostState.UNSEEN
             }
             silent(book.reportNs) -> HostState.SILENT
             report.warningS != null -> HostState.NOTICE
@@ -240,8 +264,8 @@
 
     /** It has reported before, to us or to an earlier owner, or carries tasks: its silence means something. */
     private fun expected(host: String): Boolean = books[host]?.report != null ||
-        hub.world.on(host).isNotEmpty() ||
-        hub.world.rooms.values.any { r -> r.hosts[host]?.let { it.tenure > 0uL } ?: false }
+        !hub.world.isEmpty(host) ||
+        hub.world.lastRoom(host)?.let { it.tenure > 0uL } ?: false
 
     private fun silent(sinceNs: Long): Boolean {
         val lease = hub.settings.workers.leaseS * NS
@@ -259,7 +283,7 @@
      */
     fun book(host: String): HostBook = books.getOrPut(host) {
         HostBook(host).also { b ->
-            hub.world.rooms.values.mapNotNull { it.hosts[host] }.maxByOrNull { it.images.size }?.let(b::inherit)
+            hub.world.lastRoom(host)?.let(b::inherit)
         }
     }
 
@@ -284,12 +308,11 @@
     /** Tells our workers the epoch when they do not come by themselves: they may be held at a node cut off. */
     private fun push(term: ULong) {
         val quiet = (hub.settings.workers.reportS * QUIET_REPORTS * NS).toLong()
-        for (m in hub.world.machines.values) {
-            if (!hub.owns(m)) continue
+        for (m in hub.mine()) {
             val host = m.name
             val book = book(host)
             if (hub.nowNs - maxOf(book.reportNs, ownerSinceNs, book.pushedNs) < quiet) continue
-            val room = hub.world.rooms.values.firstNotNullOfOrNull { r -> r.hosts[host]?.takeIf { it.tenure > 0uL } }
+            val room = hub.world.lastRoom(host)?.takeIf { it.tenure > 0uL }
             val address = book.report?.address ?: room?.address ?: continue
             val tenure = book.report?.tenure ?: room?.tenure ?: continue
             if (address.isEmpty()) continue
--- a/src/test/kotlin/flaxfield/arrays/PlacementTest.kt
+++ b/src/test/kotlin/flaxfield/arrays/PlacementTest.kt
@@ -6,7 +6,9 @@
 import flaxfield.jobs.JobSpec
 import flaxfield.jobs.Room
 import flaxfield.jobs.Shape
+import flaxfield.store.Sizes
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 
 class PlacementTest {
@@ -75,6 +77,22 @@
         assertEquals(Room.NONE, r.ofLimit("red"))
     }
 
+    @Test
+    fun `a part's summary is dealt into pages that each fit a value`() {
+        // One value for the whole part was refused as too large: the leader then knew of no room at all.
+        for (machines in listOf(1, 40, 240, 714, 3000)) for (valueKb in listOf(4.0, 16.0, 32.0)) {
+            val pages = RoomPages.count(machines, valueKb, 1)
+            val rows = (0 until machines).map { "host-%06d".format(it * 3) }.groupBy { RoomPages.page(it, pages) }
+            val images = RoomPages.images((0 until 40).map { "bundle-%04d".format(it) })
+            val largest = rows.values.maxBy { it.size }.associateWith { HostRoom(HostState.NOTICE, 99uL, "10.123.123.123:65000", images) }
+            val size = Sizes.json(RoomCodec.encode(RoomSummary(ULong.MAX_VALUE, largest)))
+            assertTrue(size <= valueKb * 1024, "$machines machines, $valueKb KiB, $pages pages: $size")
+            assertEquals(pages, RoomPages.count(machines, valueKb, pages))
+            assertEquals(2 * pages, RoomPages.count(1, valueKb, 2 * pages), "pages are never joined under one term")
+        }
+        assertEquals(listOf("b", "c"), RoomPages.images(listOf("x".repeat(400), "b", "c")))
+    }
+
     @Test
     fun `summaries survive the store`() {
         val s = RoomSummary(ULong.MAX_VALUE, mapOf("h" to HostRoom(HostState.NOTICE, 3uL, "10.0.0.1:1", listOf("x", "y"))))
--- a/src/test/kotlin/flaxfield/fleet/FleetRulesTest.kt
+++ b/src/test/kotlin/flaxfield/fleet/FleetRulesTest.kt
@@ -60,6 +60,26 @@
         assertEquals(setOf("a"), p.rent.keys.map { it.site }.toSet())
     }
 
+    @Test
+    fun `a job whose tasks must be together goes where most of them find room`() {
+        // Packed into the zone of the first free machine, a gang kept a part of two zones and had neither whole.
+        val bins = {
+            listOf(Bin("a1", "big", "a", false, one * 4), Bin("b1", "big", "b", false, one * 4), Bin("b2", "big", "b", false, one * 4))
+        }
+        val gang = Samples.spec(shape = Shape.GANG, samePlace = true, lendable = false, need = one * 4)
+        assertEquals(setOf("b1", "b2"), pack(listOf(Demand(gang, 2)), bins()).usedHosts)
+        assertEquals(mapOf(Offer("big", "b", false) to 2), pack(listOf(Demand(gang, 4)), bins()).rent)
+    }
+
+    @Test
+    fun `among equal prices the zone whose controllers have less to do is taken`() {
+        val load = Load { site, more -> (if (site == "a") 4.0 else 0.0) + more }
+        val got = FleetRules.pack(listOf(Demand(Samples.spec(), 24)), emptyList(), flavors, 20, { _, _, _ -> true }, load) { o ->
+            if (o.lendable && o.flavor == "big") 3.0 else null
+        }
+        assertEquals(mapOf(Offer("big", "b", true) to 5, Offer("big", "a", true) to 1), got.rent)
+    }
+
     @Test
     fun `a huge array is looked at in part`() {
         assertEquals(20, rent(Samples.spec(shards = 100_000), 100_000).values.sum())
--- a/src/test/kotlin/flaxfield/gangs/GangRoundTest.kt
+++ b/src/test/kotlin/flaxfield/gangs/GangRoundTest.kt
@@ -75,6 +75,33 @@
         assertEquals(listOf("h1"), hosts(GangRound.run(gang(1).copy(errorHosts = listOf("h2")), seats())))
     }
 
+    @Test
+    fun `gangs like one that was short are not tried again in the same run`() {
+        // Each free machine woke a hundred parked gangs, and their rounds took the leader's whole share.
+        val known = ShortRounds()
+        val seats = { listOf(seat("h1", 1), seat("h2", 1)) }
+        assertTrue(known.run(gang(3), "", seats) is Round.Short)
+        for (n in 3..5) assertEquals(Round.Short(0, n), known.run(gang(n), "", seats))
+        assertEquals(1, known.runs)
+        assertTrue(known.run(gang(2), "", seats) is Round.Full)
+        assertTrue(known.run(gang(4), "clears", { listOf(seat("h1", 4)) }) is Round.Full, "with other rights")
+        val failed = gang(3).copy(errorHosts = listOf("h1"))
+        assertTrue(ShortRounds().apply { run(failed, "", seats) }.run(gang(2), "", seats) is Round.Full)
+    }
+
+    @Test
+    fun `room is gathered for the largest late gang, one at a time, in the zone where it lacks least`() {
+        // Smaller gangs took each machine as it came free, and the largest never had enough at once.
+        val old = { id: String, n: Int, ms: Long -> gang(n, samePlace = true).let { it.copy(spec = it.spec.copy(id = id), submittedMs = ms) } }
+        val waiting = listOf(old("job-1", 2, 10), old("job-2", 4, 20), old("job-3", 4, 15), old("job-4", 8, 99))
+        assertEquals("job-3", Gathering.next(waiting, lateMs = 50)?.id)
+        assertEquals(null, Gathering.next(waiting, lateMs = 5))
+        assertEquals(null, Gathering.next(listOf(old("job-5", 1, 0)), lateMs = 50), "a single task needs none")
+        val seats = listOf(seat("a1", 1), seat("b1", 1, "b"), seat("b2", 1, "b"), seat("c1", 1, "c", lendable = true))
+        assertEquals(listOf("a1", "c1"), Gathering.without(gang(3, samePlace = true), seats, seats).map { it.machine.name })
+        assertEquals(listOf("a1", "b2", "c1"), Gathering.without(gang(1), seats.drop(1), seats.drop(1)).map { it.machine.name }.let { listOf("a1") + it })
+    }
+
     @Test
     fun `a gang waits for a warm machine only where that is its best chance`() {
         // A start with a fetch of 80 s missed an aim of 60 s while machines with the image were about to be free.
--- a/src/test/kotlin/flaxfield/jobs/JobTest.kt
+++ b/src/test/kotlin/flaxfield/jobs/JobTest.kt
@@ -4,6 +4,8 @@
 import flaxfield.Samples.on
 import flaxfield.codec.MalformedException
 import flaxfield.codec.Wire
+import flaxfield.settings.StateLimits
+import flaxfield.store.Sizes
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertNull
@@ -118,4 +120,39 @@
         assertEquals(listOf<Long>(0, 100, 200, 400, 800, 1600, 3200, 3200, 3200), waits)
         assertEquals(8, job.errorHosts.size)
     }
+
+    @Test
+    fun `a job's records fit the state service's values at any size`() {
+        for (valueKb in listOf(4.0, 16.0, 32.0)) {
+            val limits = StateLimits(150.0, 30.0, valueKb, 24)
+            val size = JobDesk.chunkTasks(limits)
+            val spec = Samples.spec(id = "job-" + "9".repeat(18), shards = 100_000)
+            val job = Samples.job(spec, chunkTasks = size).copy(errorHosts = List(8) { "host-00000$it" })
+            val spread = (0 until size * 40).associateWith { Job.Host("host-%06d".format(it), 9uL) }
+            val full = job.place(spread).let { j -> (1..40).fold(j) { x, _ -> x.place(emptyMap()) } }
+            // Every other task done: the most ranges. What a proof or a placement may change at once fits as well.
+            val half = full.finish((0 until size * 40 step 2).toList())
+            for (j in listOf(full, half)) {
+                val chunks = j.chunks.keys.sorted().take(Settlement.chunksAtOnce(limits) + 1).toSet()
+                val next = j.copy(chunks = j.chunks.mapValues { (n, c) -> if (n in chunks) c.copy(next = c.next + 1) else c })
+                assertNull(Sizes.fault(Settlement.write(j, next, 1uL), limits), "$valueKb KiB")
+                assertTrue(Sizes.json(JobCodec.encodeChunk(j.chunk(size * 39))) < valueKb * 1024)
+            }
+        }
+    }
+
+    @Test
+    fun `what keeps a job from moving on is named`() {
+        val known: (String) -> Boolean = { it == "h" }
+        val job = Samples.job()
+        val table = listOf(
+            job to Stall.WAITS_FOR_ROOM,
+            job.copy(retryAtMs = 11) to Stall.BACKS_OFF,
+            job.on(0 to "h", 1 to "h", 2 to "h", 3 to "h") to Stall.RUNS,
+            job.on(0 to "h", 1 to "h", 2 to "h", 3 to "h").stop(listOf(1)) to Stall.WAITS_FOR_PROOF,
+            // Its host's record went with the answer to the return: nobody else would ever tell that it left.
+            job.on(0 to "h", 1 to "lost") to Stall.HOST_GONE,
+        )
+        for ((j, want) in table) assertEquals(want, StallRules.reason(j, 10, known))
+    }
 }
--- a/src/test/kotlin/flaxfield/quota/QuotaTest.kt
+++ b/src/test/kotlin/flaxfield/quota/QuotaTest.kt
@@ -14,6 +14,18 @@
     private fun job(id: String, owner: String = "red", shards: Int = 1, at: Long = 0, urgency: Urgency = Urgency.IDLE): Job =
         Samples.job(Samples.spec(id = id, owner = owner, shards = shards, urgency = urgency), atMs = at)
 
+    @Test
+    fun `a job that waits too long to begin comes before every order`() {
+        // Neither a guarantee, nor priority, nor a team's share may starve a job for ever.
+        val old = Samples.job(Samples.spec(id = "job-9", urgency = Urgency.IDLE), atMs = 1)
+        val urgent = Samples.job(Samples.spec(id = "job-1", urgency = Urgency.PROD), atMs = 500)
+        val use = TeamUse(emptyList(), emptyMap())
+        fun order(late: Long, jobs: List<Job>) = JobOrder.sort(jobs, setOf("job-1"), use, late).map { it.id }
+        assertEquals(listOf("job-1", "job-9"), order(1, listOf(old, urgent)))
+        assertEquals(listOf("job-9", "job-1"), order(2, listOf(old, urgent)))
+        assertEquals(listOf("job-1", "job-9"), order(2, listOf(old.on(0 to "h"), urgent)), "it has begun")
+    }
+
     @Test
     fun `a record counts against the limit until proof that its task has left`() {
         val three = job("job-1", shards = 4).on(0 to "h", 1 to "h", 2 to "h")
--- a/src/test/kotlin/flaxfield/sim/Rules.kt
+++ b/src/test/kotlin/flaxfield/sim/Rules.kt
@@ -16,6 +16,10 @@
     var starts = 0
         private set
 
+    private val acceptedAt = HashMap<String, Double>()
+    private val answeredAt = HashMap<String, Double>()
+    private val began = HashMap<String, Double>()
+
     fun submitted(spec: JobSpec) {
         specs[spec.id] = spec
     }
@@ -28,6 +32,7 @@
     fun starts(id: String, task: Int, place: Place, nowS: Double) {
         val spec = specs[id] ?: return broke("invented", "$id starts")
         starts++
+        began.putIfAbsent(id, nowS)
         on[id to task]?.let { broke("ran_twice", "$id/$task starts on ${place.host} while on ${it.host}") }
         val others = on.filter { it.key.first == id && it.key.second != task }.values
         val wrong = (spec.flavors?.let { place.flavor !in it } ?: false) ||
@@ -65,6 +70,8 @@
             return
         }
         val before = told[id]
+        acceptedAt.putIfAbsent(id, nowS)
+        answeredAt[id] = nowS
         if (phase == null) {
             if (before != null) broke("forgotten", "$id gets 404")
             return
@@ -76,6 +83,35 @@
         told[id] = phase
     }
 
+    /** An accepted job whose user got no answer for long, though troubles are over, is forgotten. */
+    fun checkKnown(nowS: Double) {
+        for ((id, at) in answeredAt) {
+            if (told[id] in FINAL || nowS - at <= UNANSWERED_S) continue
+            broke("forgotten", "$id without an answer since $at")
+            answeredAt[id] = nowS
+        }
+    }
+
+    /** At the end of a day: half of each class, of each team and of each class's largest jobs; the largest begin in time. */
+    fun checkServed() {
+        val accepted = acceptedAt.keys.mapNotNull { specs[it] }.filter { it.id !in cancelAsked }
+        fun half(what: String, jobs: List<JobSpec>) {
+            val served = jobs.count { told[it.id] == "done" }
+            if (served * 2 < jobs.size) broke("not_served", "$what: $served of ${jobs.size}")
+        }
+        for ((team, jobs) in accepted.groupBy { it.owner }) half("team $team", jobs)
+        for ((jobClass, jobs) in accepted.groupBy { it.jobClass }) {
+            half("class $jobClass", jobs)
+            val most = jobs.maxOf { it.shards }
+            val largest = jobs.filter { it.shards == most }
+            half("largest of $jobClass", largest)
+            for (j in largest) {
+                val waited = (began[j.id] ?: Double.MAX_VALUE) - acceptedAt.getValue(j.id)
+                if (waited > LARGEST_BEGIN_S) broke("late_largest", "${j.id} began after $waited s")
+            }
+        }
+    }
+
     fun told(id: String): String? = told[id]
 
     private fun broke(rule: String, what: String) {
@@ -84,5 +120,7 @@
 
     companion object {
         val FINAL = setOf("done", "aborted")
+        private const val UNANSWERED_S = 75.0
+        private const val LARGEST_BEGIN_S = 240.0
     }
 }
--- a/src/test/kotlin/flaxfield/sim/RulesTest.kt
+++ b/src/test/kotlin/flaxfield/sim/RulesTest.kt
@@ -10,6 +10,11 @@
     private val south = Rules.Place("h2", "big", "b", false)
     private val cheap = Rules.Place("h3", "big", "a", true)
 
+    private fun Rules.begun(id: String, nowS: Double) {
+        starts(id, 0, north, nowS)
+        leaves(id, 0, "h1")
+    }
+
     private fun broken(act: Rules.() -> Unit): List<String> = Rules(mapOf("red" to 2.0), 10.0).apply {
         submitted(Samples.spec(id = "job-1", shards = 2, lendable = false, samePlace = true))
         submitted(Samples.spec(id = "job-2", shards = 4, flavors = setOf("big"), scatter = true, owner = "blue"))
@@ -82,7 +87,34 @@
                     answered("job-1", "running", 1.0)
                 },
             "went_back" to { answered("job-1", "aborted", 0.0) },
+            "forgotten" to {
+                answered("job-1", "running", 0.0)
+                answered("job-2", "running", 70.0)
+                checkKnown(76.0)
+            },
+            null to {
+                answered("job-1", "running", 0.0)
+                checkKnown(75.0)
+                begun("job-1", 1.0)
+                for (t in 0..1) completes("job-1", t)
+                answered("job-1", "done", 9.0)
+                checkKnown(900.0)
+                checkServed()
+            },
+            "late_largest" to {
+                answered("job-1", "running", 0.0)
+                begun("job-1", 241.0)
+                for (t in 0..1) completes("job-1", t)
+                answered("job-1", "done", 260.0)
+                checkServed()
+            },
         )
+        // A class, a team and its largest job that are never served are three findings, and its start a fourth.
+        val starved: Rules.() -> Unit = {
+            answered("job-1", "pending", 0.0)
+            checkServed()
+        }
+        assertEquals(listOf("not_served", "not_served", "not_served", "late_largest"), broken(starved))
         for ((i, row) in table.withIndex()) assertEquals(listOfNotNull(row.first), broken(row.second), "row $i")
     }
 }
--- a/src/test/kotlin/flaxfield/sim/SimMachines.kt
+++ b/src/test/kotlin/flaxfield/sim/SimMachines.kt
@@ -52,6 +52,9 @@
     /** Every task that starts here fails. */
     var sick = false
 
+    /** Its reports arrive; answers and commands do not reach it. */
+    var deaf = false
+
     fun start() {
         loop.after((STEP_S * SimLoop.SECOND).toLong(), ::step)
     }
@@ -161,6 +164,15 @@
         hello(nodes[node], Cbor.encode(body())) { a ->
             flying = false
             if (gone) return@hello
+            if (deaf) {
+                // To the worker this is no answer at all: it waits, and tries the next node.
+                flying = true
+                loop.after((DROP_S * SimLoop.SECOND).toLong()) {
+                    flying = false
+                    node = (node + 1) % nodes.size
+                }
+                return@hello
+            }
             when (a?.status) {
                 200 -> if (session == tenure) answered(Cbor.decode(a.body), sent)
                 421 -> {
@@ -186,6 +198,9 @@
         epoch = maxOf(epoch, token)
     }
 
+    /** What the worker says of itself now, as a copy that may arrive at any later time. */
+    fun copy(): ByteArray = Cbor.encode(body())
+
     /** `/do`: executed if token and session match. */
     fun direct(o: Obj): Answer {
         val fits = (o.count("epoch") ?: 0uL) >= epoch && o.count("tenure")?.toLong() == tenure
@@ -257,6 +272,9 @@
     private val history = ArrayList<Pair<Double, List<Map<String, Any?>>>>()
     private var next = 0
 
+    /** How many machines were ever rented. */
+    val rented get() = next
+
     fun serve(method: String, target: String, body: ByteArray, answer: (Answer) -> Unit) {
         when {
             target == "/flavors" -> answer(reply(200, mapOf("flavors" to FLAVORS)))
--- /dev/null
+++ b/src/test/kotlin/flaxfield/workers/HearingTest.kt
@@ -0,0 +1,46 @@
+package flaxfield.workers
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+
+/** A machine whose reports arrive while answers do not reach it looked alive, and kept what it was given for ever. */
+class HearingTest {
+    private val lease = 12e9
+    private val launch = Order.Launch("job-1", 0, 1uL)
+
+    private fun report(tenure: Int = 1, epoch: Int = 7, has: Boolean = false) = Report(
+        "h", "10.0.0.1:1", "big", "a", false, tenure.toULong(), 1uL, epoch.toULong(), null,
+        if (has) listOf(ReportedTask("job-1", 0, 1uL, TaskState.PULLING, null)) else emptyList(),
+    )
+
+    /** [reports] arrive every 5 s; each is answered with the launch. Returns what speaks against the worker at the end. */
+    private fun missed(reports: List<Report>, everyS: Double = 5.0): Int {
+        var h = Hearing()
+        for ((k, r) in reports.withIndex()) {
+            val now = ((k + 1) * everyS * 1e9).toLong()
+            h = h.reported(r, 7uL, now, lease).answered(r, 7uL, listOf(launch), now)
+        }
+        return h.missed
+    }
+
+    @Test
+    fun `only a row of answers without any effect speaks against a worker`() {
+        val table = listOf(
+            Triple("the launch shows", listOf(report(), report(has = true), report(has = true)), 0),
+            Triple("one answer was lost", listOf(report(), report(), report(has = true)), 0),
+            Triple("no launch shows", List(5) { report() }, 4),
+            Triple("the epoch does not rise", List(5) { report(epoch = 6) }, 4),
+            Triple("its lease runs out under our answers", listOf(report(), report(), report(tenure = 2), report(tenure = 2)), 4),
+        )
+        for ((what, reports, want) in table) assertEquals(want, missed(reports), what)
+        // It hung or was cut off: there was no answer of ours within its lease.
+        assertEquals(0, missed(listOf(report(), report(tenure = 2)), everyS = 20.0))
+        assertEquals(listOf(false, true), listOf(3, 4).map { Hearing(missed = it).deaf })
+    }
+
+    @Test
+    fun `a new term starts anew`() {
+        val h = Hearing().answered(report(), 7uL, listOf(launch), 1).copy(missed = 3)
+        assertEquals(0, h.reported(report(epoch = 7), 8uL, 2, lease).missed)
+    }
+}
