--- a/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
@@ -275,7 +275,9 @@
         return when {
             room.state == HostState.SILENT -> "silent"
             room.state == HostState.FAULTY -> "faulty"
-            room.state == HostState.UNSEEN && empty && settled() &&
+            room.state == HostState.UNSEEN &&
+                empty &&
+                settled() &&
                 hub.nowMs - m.sinceMs > flavor.readyS * BOOT_FACTOR * MS -> "never came up"
             overdue != null -> "cancelled ${overdue.id} is still on it"
             else -> {
@@ -331,7 +333,8 @@
         // While arrays wait for room, those that fill a machine nobody else needs are worth its price.
         val backlog = w.jobs.values.any { !it.isGang && !it.cancelled && it.pendingCount > 0 && it.retryAtMs <= hub.nowMs }
         for (m in w.machines.values) {
-            val idle = m.phase == MachinePhase.UP && m.name !in packing.usedHosts &&
+            val idle = m.phase == MachinePhase.UP &&
+                m.name !in packing.usedHosts &&
                 (w.isEmpty(m.name) || !backlog && w.jobsOn(m.name).all { guest(it, m) }) &&
                 w.hostRoom(m.name)?.state == HostState.OK
             if (idle) idleSinceNs.putIfAbsent(m.name, now) else idleSinceNs.remove(m.name)
--- a/src/main/kotlin/flaxfield/fleet/FleetRules.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetRules.kt
@@ -59,11 +59,11 @@
             var tasks = d.tasks
             var next = 0
             while (tasks > 0) {
-                while (next < open.size && !((zone == null || open[next].site == zone) && takes(open[next], d.spec, rule, suits))) next++
+                while (next < open.size && !(open[next].site == (zone ?: open[next].site) && takes(open[next], d.spec, rule, suits))) next++
                 if (next >= open.size) {
                     if (new >= mostNew) break
-                    val offer = best(d, tasks, flavors, rule, suits, { load(it, rent.entries.sumOf { r -> if (r.key.site == it) r.value else 0 }) }, price)
-                        ?: break
+                    val loadNow = { site: String -> load(site, rent.entries.sumOf { (o, n) -> if (o.site == site) n else 0 }) }
+                    val offer = best(d, tasks, flavors, rule, suits, loadNow, price) ?: break
                     val flavor = flavors.getValue(offer.flavor)
                     rent.merge(offer, 1, Int::plus)
                     new++
--- a/src/main/kotlin/flaxfield/fleet/Machine.kt
+++ b/src/main/kotlin/flaxfield/fleet/Machine.kt
@@ -62,7 +62,9 @@
         "lendable" to m.lendable,
         "phase" to m.phase.name.lowercase(),
         "at" to m.sinceMs,
-        "claim" to m.claim?.let { mapOf("job" to it.job, "term" to it.term, "tasks" to it.tasks, "evict" to it.evict, "try" to it.attempt) },
+        "claim" to m.claim?.let {
+            mapOf("job" to it.job, "term" to it.term, "tasks" to it.tasks, "evict" to it.evict, "try" to it.attempt)
+        },
     )
 
     fun machine(o: Obj, key: String, stamp: ULong) = Machine(
--- a/src/main/kotlin/flaxfield/gangs/GangDesk.kt
+++ b/src/main/kotlin/flaxfield/gangs/GangDesk.kt
@@ -74,7 +74,8 @@
         val look = Look(seats(term), use, guaranteed, term)
         val late = hub.nowMs - (JobOrder.BEGIN_S * GATHER_SHARE * MS).toLong()
         val gathers = Gathering.next(waiting, late)
-        for (job in listOfNotNull(gathers) + JobOrder.sort(waiting, guaranteed, use, JobOrder.lateMs(hub.nowMs)).filter { it !== gathers }) {
+        val ordered = JobOrder.sort(waiting, guaranteed, use, JobOrder.lateMs(hub.nowMs))
+        for (job in listOfNotNull(gathers) + ordered.filter { it !== gathers }) {
             val p = parked[job.id]
             val parkedNow = p != null && hub.nowNs < p.untilNs
             if (!parkedNow && look.known.runs < MOST_ROUNDS) round(job, look)
@@ -143,7 +144,7 @@
         for (m in hub.world.machines.values) {
             if (m.phase != MachinePhase.UP) continue
             val room = hub.world.free(m) ?: continue
-            free += shapes.sumOf { s -> if (room.holds(s.need) && ZoneRule.kindAllowed(s, m.flavor, m.site, m.lendable)) room.count(s.need) else 0 }
+            free += shapes.filter { ZoneRule.kindAllowed(it, m.flavor, m.site, m.lendable) }.sumOf { room.count(it.need) }
         }
         if (free > lastFree) parked.replaceAll { _, p -> Parked(0, p.times) }
         lastFree = free
--- a/src/main/kotlin/flaxfield/jobs/Settlement.kt
+++ b/src/main/kotlin/flaxfield/jobs/Settlement.kt
@@ -51,14 +51,17 @@
     }
 
     /** Whether someone waits for just this: a task to start again, a gang, or the end of this part's share of the job. */
-    private fun hurry(job: Job, events: List<TaskEvent>): Boolean = job.isGang || job.cancelled ||
+    private fun hurry(job: Job, events: List<TaskEvent>): Boolean = job.isGang ||
+        job.cancelled ||
         events.any { it is TaskEvent.Left } ||
-        events.size >= job.placedCount || events.size >= job.allPlaced().count { mine(it.host) }
+        events.size >= job.placedCount ||
+        events.size >= job.allPlaced().count { mine(it.host) }
 
     private fun mine(host: String) = hub.world.machines[host]?.let { hub.owns(it) } ?: true
 
-    /** Ends of an array's tasks gather for a while: several of them are one write. */
+    /** Ends of an array's tasks gather for a while, unless changes are plenty: several of them are one write. */
     private fun gathered(proofs: Proofs): Boolean {
+        if (hub.budget.ample(hub.nowNs)) return true
         val wanted = hub.world.jobs.values.any { !it.cancelled && it.pendingCount > 0 }
         val wait = hub.settings.workers.reportS * if (wanted) WANTED_REPORTS else GATHER_REPORTS
         val due = proofs.sinceNs + (wait * NS).toLong()
@@ -123,8 +126,7 @@
         private const val TXN_KB = 64.0
 
         /** How many chunks of one job a transaction may change besides its head, each at most a value in size. */
-        fun chunksAtOnce(limits: StateLimits): Int =
-            minOf(limits.txnOps / 2, (TXN_KB / limits.valueKb).toInt() - 1).coerceAtLeast(1)
+        fun chunksAtOnce(limits: StateLimits): Int = minOf(limits.txnOps / 2, (TXN_KB / limits.valueKb).toInt() - 1).coerceAtLeast(1)
 
         /** The condition that every decision's transaction carries: the assignment it was made under. */
         fun fence(hub: Hub): Map<String, ULong> = mapOf(Keys.ASSIGNMENT to hub.world.stamp(Keys.ASSIGNMENT))
--- a/src/main/kotlin/flaxfield/jobs/StallDesk.kt
+++ b/src/main/kotlin/flaxfield/jobs/StallDesk.kt
@@ -60,7 +60,13 @@
         if (reason == Stall.RUNS) return
         log.info(
             "job={} term={} stands still for {} s: {} pending={} placed={} owner={}",
-            job.id, hub.term(), stillS.toInt(), reason, job.pendingCount, job.placedCount, job.spec.owner,
+            job.id,
+            hub.term(),
+            stillS.toInt(),
+            reason,
+            job.pendingCount,
+            job.placedCount,
+            job.spec.owner,
         )
     }
 
--- a/src/main/kotlin/flaxfield/node/Controller.kt
+++ b/src/main/kotlin/flaxfield/node/Controller.kt
@@ -124,7 +124,9 @@
                 on(r, "POST") { jobs.cancel(path.removePrefix("/work/").removeSuffix("/cancel"), r.reply) }
             path.startsWith("/work/") -> on(r, "GET") { jobs.status(path.removePrefix("/work/"), r.reply) }
             path == "/ready" -> on(r, "GET") { r.reply.send(if (ready()) 200 else 503, Body.EMPTY, null) }
-            path == "/metrics" -> on(r, "GET") { r.reply.send(200, Body((metrics.text() + hub.counts.text()).toByteArray(), "text/plain"), null) }
+            path == "/metrics" -> on(r, "GET") {
+                r.reply.send(200, Body((metrics.text() + hub.counts.text()).toByteArray(), "text/plain"), null)
+            }
             else -> r.reply.send(404, Body(Wire.encode(mapOf("error" to "no such path")), Body.CBOR), null)
         }
     }
@@ -166,7 +168,8 @@
         duty("fleet") { fleet.run() }
         if (hub.nowNs >= nextLoadNs) {
             nextLoadNs = hub.nowNs + (LOAD_LINE_S * NS_PER_S).toLong()
-            log.info("load jobs={} machines={} own={} {}", hub.world.jobs.size, hub.world.machines.size, hub.mine().size, hub.counts.line())
+            val w = hub.world
+            log.info("load jobs={} machines={} own={} {}", w.jobs.size, w.machines.size, hub.mine().size, hub.counts.line())
         }
     }
 
--- a/src/main/kotlin/flaxfield/peers/PeerLink.kt
+++ b/src/main/kotlin/flaxfield/peers/PeerLink.kt
@@ -3,8 +3,8 @@
 import flaxfield.codec.MalformedException
 import flaxfield.codec.Obj
 import flaxfield.codec.Wire
-import flaxfield.settings.Address
 import flaxfield.net.Outbox
+import flaxfield.settings.Address
 import io.netty.bootstrap.Bootstrap
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.buffer.ByteBuf
@@ -109,7 +109,12 @@
 }
 
 /** One outgoing connection to a peer, opened when needed; what can't be sent at once is dropped. */
-class PeerClient(private val loop: EventLoopGroup, private val out: Outbox, private val address: Address, private val onMessage: (PeerMessage) -> Unit) : PeerLine {
+class PeerClient(
+    private val loop: EventLoopGroup,
+    private val out: Outbox,
+    private val address: Address,
+    private val onMessage: (PeerMessage) -> Unit,
+) : PeerLine {
     private var channel: Channel? = null
     private var connecting = false
 
--- a/src/main/kotlin/flaxfield/store/Budget.kt
+++ b/src/main/kotlin/flaxfield/store/Budget.kt
@@ -63,6 +63,12 @@
     private val writes = Bucket(limits.writeRps * SAFE_SHARE * (1 - UPKEEP), nodes)
     private val upkeep = Bucket(limits.writeRps * SAFE_SHARE * UPKEEP, nodes, UPKEEP_S)
 
+    /** Whether changes are plenty now: nothing needs to gather to spare them. */
+    fun ample(nowNs: Long): Boolean {
+        writes.refill(nowNs)
+        return writes.tokens >= writes.rate * AMPLE
+    }
+
     /** How many changes one bulk write may have: more at once would keep everything else waiting for seconds. */
     fun bulk(most: Int): Int = minOf(most, (writes.rate * BULK_S).toInt().coerceAtLeast(BULK_LEAST))
 
@@ -110,6 +116,7 @@
         /** A bulk write goes when so many of its changes are there: the bucket is in debt for a moment. */
         const val MOST_OVERDRAWN = 4
         const val BULK_S = 0.7
+        const val AMPLE = 0.7
         const val BULK_LEAST = 4
         const val NS = 1e9
     }
--- a/src/main/kotlin/flaxfield/store/World.kt
+++ b/src/main/kotlin/flaxfield/store/World.kt
@@ -17,9 +17,9 @@
 import flaxfield.members.Assignment
 import flaxfield.members.Member
 import flaxfield.members.MemberCodec
-import flaxfield.settings.Team
 import flaxfield.quota.JobOrder
 import flaxfield.quota.TeamUse
+import flaxfield.settings.Team
 import org.slf4j.LoggerFactory
 
 /** A task's record on a host, with its job. */
--- a/src/main/kotlin/flaxfield/workers/Hearing.kt
+++ b/src/main/kotlin/flaxfield/workers/Hearing.kt
@@ -29,14 +29,13 @@
         }
     }
 
-    fun answered(r: Report, term: ULong, orders: List<Order>, nowNs: Long): Hearing =
-        copy(
-            term = term,
-            tenure = r.tenure,
-            launched = orders.filterIsInstance<Order.Launch>(),
-            answeredNs = nowNs,
-            tenureNs = if (r.tenure != tenure || answeredNs == 0L) nowNs else tenureNs,
-        )
+    fun answered(r: Report, term: ULong, orders: List<Order>, nowNs: Long): Hearing = copy(
+        term = term,
+        tenure = r.tenure,
+        launched = orders.filterIsInstance<Order.Launch>(),
+        answeredNs = nowNs,
+        tenureNs = if (r.tenure != tenure || answeredNs == 0L) nowNs else tenureNs,
+    )
 
     val deaf: Boolean get() = missed >= DEAF
 
--- a/src/main/kotlin/flaxfield/workers/HostBook.kt
+++ b/src/main/kotlin/flaxfield/workers/HostBook.kt
@@ -37,5 +37,6 @@
         if (images.isEmpty()) for (i in room.images) images[i] = 0.0
     }
 
-    fun room(state: HostState): HostRoom = HostRoom(state, report?.tenure ?: 0uL, report?.address.orEmpty(), RoomPages.images(images.keys.toList()))
+    fun room(state: HostState): HostRoom =
+        HostRoom(state, report?.tenure ?: 0uL, report?.address.orEmpty(), RoomPages.images(images.keys.toList()))
 }
