--- a/src/main/kotlin/flaxfield/fleet/FleetRules.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetRules.kt
@@ -96,8 +96,11 @@
         return ageS + leadS * LEAD_MARGIN > open && ageS + queueS > open * QUEUE_SHARE
     }
 
-    /** The rest of an aim is for the fetch, and for how unevenly tasks end. */
-    private const val QUEUE_SHARE = 0.5
+    /**
+     * A queue that is through within the aim needs no dear machines. With half of the aim as the limit a calm day of
+     * stimmpost-zentrale-fleet rented 250 of them beside cheap ones that still booted, and met no aim more for it.
+     */
+    private const val QUEUE_SHARE = 1.0
 
     /** Boots take up to half as long again, and images fetched at once share the rate. */
     private const val LEAD_MARGIN = 1.5
--- a/src/test/kotlin/flaxfield/fleet/FleetRulesTest.kt
+++ b/src/test/kotlin/flaxfield/fleet/FleetRulesTest.kt
@@ -57,6 +57,8 @@
         for ((row, what) in table) assertEquals(row.third, FleetRules.pressesToStart(row.first, 57.0, 100.0, row.second), what)
         // Every job that found no room at once got the dear kind, and the price rose by half.
         assertEquals(false, FleetRules.pressesToStart(1.0, 57.0, 20.0, listOf(80.0, 200.0)), "tasks end fast enough")
+        // Half of the aim was the limit once: the queue was through in time, and the dear machines came after it.
+        assertEquals(false, FleetRules.pressesToStart(1.0, 57.0, 60.0, listOf(80.0, 200.0)), "the queue is through in time")
     }
 
     @Test
