--- a/src/main/kotlin/flaxfield/jobs/JobDesk.kt
+++ b/src/main/kotlin/flaxfield/jobs/JobDesk.kt
@@ -6,6 +6,7 @@
 import flaxfield.codec.Wire
 import flaxfield.net.Body
 import flaxfield.net.Reply
+import flaxfield.node.Controller
 import flaxfield.node.Hub
 import flaxfield.settings.StateLimits
 import flaxfield.store.Cause
@@ -199,8 +200,11 @@
                     for (w in asked) w.need = read.ledger
                     viewMoved()
                 } else {
-                    waiters.removeAll(asked.toSet())
-                    for (w in asked) later(w.reply, "the state service does not answer")
+                    // Some have been given up on meanwhile: a second answer on a kept connection was taken for the next
+                    // request's, and each later one came one request late.
+                    val open = asked.filterTo(HashSet()) { it in waiters }
+                    waiters.removeAll(open)
+                    for (w in open) later(w.reply, "the state service does not answer")
                 }
                 confirmSoon()
             }
@@ -235,8 +239,14 @@
 
     private fun encode(map: Map<String, Any?>) = Body(Wire.encode(map), Body.CBOR)
 
-    /** Reads for polls take at most this share of the node's part of the state service's rate. */
-    private val confirmGapNs = (NS_PER_S / (hub.settings.stateLimits.rps * CONFIRM_SHARE / hub.settings.size)).toLong()
+    /**
+     * Reads for polls take at most this share of the node's part of the state service's rate. Nor need they come
+     * much more often than the view moves on: one read serves all who asked before it.
+     */
+    private val confirmGapNs = maxOf(
+        (NS_PER_S / (hub.settings.stateLimits.rps * CONFIRM_SHARE / hub.settings.size)).toLong(),
+        CONFIRM_DECISIONS * Controller.DECIDE_GAP_MS * NS_PER_MS,
+    )
 
     companion object {
         /** How many tasks' records share a value; the first chunk shares it with the job itself. */
@@ -259,6 +269,7 @@
         /** Users wait 2 s for a poll's answer. */
         private const val CONFIRM_MS = 1_500
         private const val CONFIRM_SHARE = 0.15
+        private const val CONFIRM_DECISIONS = 2
         private const val AWAY_SHARE = 0.25
         private const val RETRY_AFTER_S = 1
         private const val NS_PER_MS = 1_000_000L
--- a/src/main/kotlin/flaxfield/net/Http.kt
+++ b/src/main/kotlin/flaxfield/net/Http.kt
@@ -40,6 +40,24 @@
     fun send(status: Int, body: Body, retryAfterS: Int?)
 }
 
+/**
+ * Passes on the first answer only. On a kept connection a second one would be taken for the next request's, and a
+ * user would be told of the past: whoever answers twice has a defect, which must not reach the other side.
+ */
+class Once(private val reply: Reply) : Reply {
+    private var used = false
+
+    override fun send(status: Int, body: Body, retryAfterS: Int?) {
+        if (used) return log.error("answered twice, with {} the second time", status)
+        used = true
+        reply.send(status, body, retryAfterS)
+    }
+
+    private companion object {
+        val log = LoggerFactory.getLogger("flaxfield.net")
+    }
+}
+
 /**
  * The HTTP server of `serve_on`: decodes, hands over, encodes. It decides nothing but which connections stay
  * open; one that has been silent for [idleS] is closed.
@@ -80,7 +98,7 @@
 
         override fun channelRead0(ctx: ChannelHandlerContext, msg: FullHttpRequest) {
             val keep = HttpUtil.isKeepAlive(msg)
-            val reply = Reply { status, body, retryAfterS ->
+            val reply = Once { status, body, retryAfterS ->
                 out.add {
                     doors.answered(ctx.channel())
                     answer(ctx, keep, status, body, retryAfterS)
--- a/src/main/kotlin/flaxfield/settings/Settings.kt
+++ b/src/main/kotlin/flaxfield/settings/Settings.kt
@@ -107,7 +107,7 @@
                 ),
                 cloudRps = positive(cloud, "rps"),
                 listLagS = positive(cloud, "list_lag_s"),
-                maxSockets = o.needObj("deployment").obj("quota")?.int("fd_limit") ?: DEFAULT_SOCKETS,
+                maxSockets = sockets(d.obj("quota")),
                 zones = d.texts("zones")?.toSet()?.size?.coerceAtLeast(1) ?: 1,
             )
         }
@@ -127,6 +127,14 @@
             o.number("share") ?: 0.0,
         )
 
+        /** A process needs some sockets for itself before it can serve anyone. */
+        private fun sockets(quota: Obj?): Int {
+            if (quota?.map?.get("fd_limit") == null) return DEFAULT_SOCKETS
+            val n = quota.int("fd_limit") ?: throw MalformedException("fd_limit is invalid")
+            if (n < LEAST_SOCKETS) throw MalformedException("fd_limit must be at least $LEAST_SOCKETS")
+            return n
+        }
+
         private fun positive(o: Obj, key: String): Double {
             val v = o.needNumber(key)
             if (!(v > 0.0)) throw MalformedException("$key must be above 0")
@@ -134,5 +142,8 @@
         }
 
         private const val DEFAULT_SOCKETS = 1024
+
+        /** Listeners, the state service, the cloud, the peers, the process's own files, and a few that come in. */
+        private const val LEAST_SOCKETS = 64
     }
 }
--- a/src/main/kotlin/flaxfield/store/World.kt
+++ b/src/main/kotlin/flaxfield/store/World.kt
@@ -231,8 +231,6 @@
     /** How many records [job] has on [host]. */
     fun countOn(host: String, job: String): Int = placedOn[host]?.get(job)?.size ?: 0
 
-    fun hostsWithTasks(): Set<String> = placedOn.keys
-
     /** What the records leave free on a machine; null if its type is unknown. */
     fun free(machine: Machine): Room? = freeOn[machine.name] ?: run {
         var room = flavors[machine.flavor]?.room ?: return null
--- a/src/main/kotlin/flaxfield/workers/WorkerDesk.kt
+++ b/src/main/kotlin/flaxfield/workers/WorkerDesk.kt
@@ -22,8 +22,11 @@
 class WorkerDesk(private val hub: Hub, private val settlement: Settlement, private val peers: PeerDesk, private val direct: DirectOrders) {
     private val books = HashMap<String, HostBook>()
 
-    /** Hosts whose keys have been dropped: names are never used again, so late news of them is ignored. */
-    private val gone = LinkedHashSet<String>()
+    /**
+     * Hosts whose keys have been dropped, and when: names are never used again, so late news of them is ignored. Kept
+     * for as long as copies may come, not by a count: after a mass loss hundreds go within seconds.
+     */
+    private val gone = LinkedHashMap<String, Long>()
     private var termSeen: ULong? = null
     private var ownerSinceNs = 0L
 
@@ -340,8 +343,13 @@
     /** Forgets machines whose keys were dropped. */
     fun forget(host: String) {
         books.remove(host)
-        gone += host
-        if (gone.size > GONE_KEPT) gone.remove(gone.first())
+        gone[host] = hub.nowNs
+        val before = hub.nowNs - (hub.settings.workers.leaseS * GONE_LEASES * NS).toLong()
+        while (gone.isNotEmpty()) {
+            val eldest = gone.entries.first()
+            if (eldest.value >= before) break
+            gone.remove(eldest.key)
+        }
     }
 
     private fun error(text: String) = Body(Wire.encode(mapOf("error" to text)), Body.CBOR)
@@ -374,6 +382,8 @@
 
         /** A worker not heard of for this many report intervals is sent the epoch. */
         const val QUIET_REPORTS = 2.0
-        const val GONE_KEPT = 2_000
+
+        /** Copies of reports come late, at times by well over a lease. */
+        const val GONE_LEASES = 8.0
     }
 }
--- a/src/test/kotlin/flaxfield/net/DoorsTest.kt
+++ b/src/test/kotlin/flaxfield/net/DoorsTest.kt
@@ -55,4 +55,14 @@
         assertEquals(1, doors.size)
         assertEquals(0, doors.users)
     }
+
+    @Test
+    fun `a request is answered once`() {
+        // A poll was answered twice in an outage: the user took the second answer for that to the next poll.
+        val sent = ArrayList<Int>()
+        val reply = Once { status, _, _ -> sent += status }
+        reply.send(503, Body.EMPTY, 1)
+        reply.send(200, Body.EMPTY, null)
+        assertEquals(listOf(503), sent)
+    }
 }
--- a/src/test/kotlin/flaxfield/settings/SettingsTest.kt
+++ b/src/test/kotlin/flaxfield/settings/SettingsTest.kt
@@ -17,7 +17,7 @@
          "deployment":{"size":2,"zones":["a","b"],"teams":[{"name":"red","gpus":2.0,"gpus_max":4.0}],
           "objectives":[{"kind":"wait","class":"x","within_s":30.0,"share":0.9}],
           "workers":{"report_s":2.0,"lease_s":12.0,"gang_wait_s":45.0,"gang_peer_s":8.0,"cancel_s":42.0},
-          "state":{"rps":150.0,"write_rps":30.0,"value_kb":32.0,"txn_ops":24},"cloud":{"rps":2.0,"list_lag_s":5.0}}}
+          "state":{"rps":150.0,"write_rps":30.0,"value_kb":32.0,"txn_ops":24},"cloud":{"rps":2.0,"list_lag_s":5.0},"quota":{"fd_limit":1667}}}
     """.trimIndent()
 
     @Test
@@ -28,6 +28,7 @@
         assertEquals(Team("red", 0.0, 0.0, 2.0, 4.0), s.teams["red"])
         assertEquals(24, s.stateLimits.txnOps)
         assertEquals(2, s.zones)
+        assertEquals(1667, s.maxSockets)
     }
 
     @Test
@@ -37,6 +38,9 @@
             "127.0.0.1:8080" to "nowhere" to "nowhere",
             "\"lease_s\":12.0" to "\"lease_s\":0" to "lease_s",
             "\"rps\":150.0" to "\"rps\":\"many\"" to "rps",
+            "\"fd_limit\":1667" to "\"fd_limit\":0" to "fd_limit",
+            "\"fd_limit\":1667" to "\"fd_limit\":-1" to "fd_limit",
+            "\"fd_limit\":1667" to "\"fd_limit\":\"few\"" to "fd_limit",
         )
         for ((change, named) in table) {
             val e =
--- a/src/test/kotlin/flaxfield/sim/SimLoop.kt
+++ b/src/test/kotlin/flaxfield/sim/SimLoop.kt
@@ -81,7 +81,11 @@
                     if (loop.random.nextDouble() >= loseAnswer) loop.after(hop()) { if (!cut) finish(answer) }
                 }
             }
-            if (!cut) loop.after(delay, deliver) else if (holds) held += deliver
+            if (!cut) {
+                loop.after(delay, deliver)
+            } else if (holds) {
+                held += deliver
+            }
         }
 
     private fun hop() = loop.random.nextLong(SimLoop.MS, 5 * SimLoop.MS)
--- a/src/test/kotlin/flaxfield/sim/SimulationTest.kt
+++ b/src/test/kotlin/flaxfield/sim/SimulationTest.kt
@@ -168,7 +168,13 @@
         private fun peer(from: Int, address: Address, m: PeerMessage, back: (PeerMessage) -> Unit) {
             val to = address.host.substringAfterLast('.').toInt() - 1
             loop.after(2 * SimLoop.MS) {
-                if (!workerWire[from].cut && !workerWire[to].cut && !peerCut[from] && !peerCut[to] && !peersRefuse && !apart(zones[from], to)) {
+                if (!workerWire[from].cut &&
+                    !workerWire[to].cut &&
+                    !peerCut[from] &&
+                    !peerCut[to] &&
+                    !peersRefuse &&
+                    !apart(zones[from], to)
+                ) {
                     awake(to) { nodes[to]?.handle(Command.Peer(m) { r -> loop.after(2 * SimLoop.MS) { back(r) } }) }
                 }
             }
@@ -196,8 +202,17 @@
         private fun http(i: Int, method: String, path: String, body: ByteArray, timeoutMs: Long, wire: Wire, done: (Answer?) -> Unit) {
             val line = wire.line({ true }) { m, p, b, answer ->
                 awake(i) {
+                    var answers = 0
                     nodes[i]?.apply {
-                        handle(Command.Http(Request(m, p, "", b) { status, out, _ -> answer(Answer(status, out.bytes)) }))
+                        handle(
+                            Command.Http(
+                                Request(m, p, "", b) { status, out, _ ->
+                                    // On a kept connection a second answer would be taken for the next request's.
+                                    if (++answers > 1) rules.broken += "$m $p answered $answers times, at ${loop.nowS}"
+                                    answer(Answer(status, out.bytes))
+                                },
+                            ),
+                        )
                         turn()
                     }
                 }
