--- a/src/test/kotlin/flaxfield/store/StoreTest.kt
+++ b/src/test/kotlin/flaxfield/store/StoreTest.kt
@@ -95,6 +95,24 @@
         assertTrue(b.take(Cause.ROOM, 1, 1_000_000_000))
     }
 
+    @Test
+    fun `asking the budget costs nothing and tells what taking would get`() {
+        // Placements were built and refused at every turn: whoever writes asks before it builds.
+        val b = Budget(StateLimits(100.0, 20.0, 16.0, 24), nodes = 2)
+        val asked = listOf(Cause.ARRAY to 2, Cause.TRICKLE to 1, Cause.FINISH to 1, Cause.GANG to 8, Cause.SUBMIT to 1, Cause.ROOM to 3)
+        var refused = 0
+        for (step in 1..60L) {
+            val now = step * 40_000_000
+            for ((cause, puts) in asked) {
+                val may = b.may(cause, puts, now)
+                assertEquals(may, b.may(cause, puts, now), "asked twice: $cause")
+                assertEquals(may, b.take(cause, puts, now), "$cause $puts at step $step")
+                if (!may) refused++
+            }
+        }
+        assertTrue(refused in 1 until 60 * asked.size, "$refused refused")
+    }
+
     @Test
     fun `a transaction that the state service never takes is found before it is sent`() {
         val limits = StateLimits(100.0, 20.0, 1.0, 4)
