--- a/src/main/kotlin/flaxfield/net/Http.kt
+++ b/src/main/kotlin/flaxfield/net/Http.kt
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import org.slf4j.LoggerFactory
+import java.util.concurrent.TimeUnit
 
 /** One request as the network thread saw it; [reply] may be used once, by the owner thread or the network thread. */
 class Request(val method: String, val path: String, val query: String, val body: ByteArray, val reply: Reply)
@@ -39,25 +40,55 @@
     fun send(status: Int, body: Body, retryAfterS: Int?)
 }
 
-/** The HTTP server of `serve_on`: decodes, hands over, encodes. It decides nothing. */
-class HttpServer(private val loop: EventLoopGroup, private val out: Outbox, private val onRequest: (Request) -> Unit) {
-    fun bind(host: String, port: Int): Channel = ServerBootstrap()
-        .group(loop)
-        .channel(NioServerSocketChannel::class.java)
-        .option(ChannelOption.SO_REUSEADDR, true)
-        .option(ChannelOption.SO_BACKLOG, BACKLOG)
-        .childOption(ChannelOption.TCP_NODELAY, true)
-        .childHandler(object : ChannelInitializer<SocketChannel>() {
-            override fun initChannel(ch: SocketChannel) {
-                ch.pipeline().addLast(HttpServerCodec(), HttpObjectAggregator(MAX_BODY), Handler())
-            }
-        })
-        .bind(host, port).sync().channel()
+/**
+ * The HTTP server of `serve_on`: decodes, hands over, encodes. It decides nothing but which connections stay
+ * open; one that has been silent for [idleS] is closed.
+ */
+class HttpServer(
+    private val loop: EventLoopGroup,
+    private val out: Outbox,
+    private val shares: SocketShares,
+    private val idleS: Double,
+    private val onRequest: (Request) -> Unit,
+) {
+    private val doors = Doors<Channel>(shares) { it.close() }
+
+    fun bind(host: String, port: Int): Channel {
+        val idleNs = (idleS * NS).toLong()
+        val look = (idleNs * LOOK_SHARE).toLong()
+        loop.next().scheduleWithFixedDelay({ doors.reap(System.nanoTime() - idleNs) }, look, look, TimeUnit.NANOSECONDS)
+        return ServerBootstrap()
+            .group(loop)
+            .channel(NioServerSocketChannel::class.java)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .option(ChannelOption.SO_BACKLOG, shares.backlog)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(object : ChannelInitializer<SocketChannel>() {
+                override fun initChannel(ch: SocketChannel) {
+                    ch.pipeline().addLast(HttpServerCodec(), HttpObjectAggregator(MAX_BODY), Handler())
+                }
+            })
+            .bind(host, port).sync().channel()
+    }
 
     private inner class Handler : SimpleChannelInboundHandler<FullHttpRequest>() {
+        override fun channelActive(ctx: ChannelHandlerContext) {
+            if (!doors.entered(ctx.channel(), System.nanoTime())) ctx.close()
+        }
+
+        override fun channelInactive(ctx: ChannelHandlerContext) = doors.left(ctx.channel())
+
         override fun channelRead0(ctx: ChannelHandlerContext, msg: FullHttpRequest) {
             val keep = HttpUtil.isKeepAlive(msg)
-            val reply = Reply { status, body, retryAfterS -> out.add { answer(ctx, keep, status, body, retryAfterS) } }
+            val reply = Reply { status, body, retryAfterS ->
+                out.add {
+                    doors.answered(ctx.channel())
+                    answer(ctx, keep, status, body, retryAfterS)
+                }
+            }
+            if (!doors.asked(ctx.channel(), msg.uri().startsWith(USERS_PATH), System.nanoTime())) {
+                return answer(ctx, false, HttpResponseStatus.SERVICE_UNAVAILABLE.code(), Body.EMPTY, RETRY_S)
+            }
             if (!msg.decoderResult().isSuccess) {
                 answer(ctx, false, HttpResponseStatus.BAD_REQUEST.code(), Body.EMPTY, null)
                 return
@@ -94,6 +125,13 @@
     private companion object {
         val log = LoggerFactory.getLogger("flaxfield.net")
         const val MAX_BODY = 64 * 1024
-        const val BACKLOG = 256
+
+        /** Whoever asks here is a user; workers and the load balancer's probes ask elsewhere. */
+        const val USERS_PATH = "/work"
+        const val RETRY_S = 1
+
+        /** How often silent connections are looked for, as a share of the time they are given. */
+        const val LOOK_SHARE = 0.25
+        const val NS = 1e9
     }
 }
--- a/src/main/kotlin/flaxfield/net/HttpClient.kt
+++ b/src/main/kotlin/flaxfield/net/HttpClient.kt
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.FullHttpResponse
 import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpUtil
@@ -43,6 +44,8 @@
     private val most: Int,
     private val waitingMost: Int = most * WAITING_PER_CONNECTION,
     private val maxAnswer: Int = MAX_ANSWER,
+    /** Whether a connection stays open after an answer. */
+    private val keep: Boolean = true,
 ) : Calls {
     private class Call(val method: String, val path: String, val body: ByteArray?, val timeoutMs: Long, val done: (Answer?) -> Unit) {
         var over = false
@@ -114,6 +117,7 @@
                 .set(HttpHeaderNames.CONTENT_TYPE, Body.CBOR)
                 .setInt(HttpHeaderNames.CONTENT_LENGTH, call.body.size)
         }
+        if (!keep) request.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         line.channel?.writeAndFlush(request)
     }
 
@@ -160,7 +164,7 @@
             val call = line.call ?: return
             line.call = null
             val answer = Answer(msg.status().code(), ByteBufUtil.getBytes(msg.content()))
-            if (HttpUtil.isKeepAlive(msg) && ctx.channel().isActive) idle.addLast(line) else ctx.close()
+            if (keep && HttpUtil.isKeepAlive(msg) && ctx.channel().isActive) idle.addLast(line) else ctx.close()
             finish(call, answer)
             next()
         }
--- a/src/main/kotlin/flaxfield/node/Controller.kt
+++ b/src/main/kotlin/flaxfield/node/Controller.kt
@@ -54,6 +54,8 @@
     incarnation: String,
     clock: Clock,
     outside: Outside,
+    /** Requests to workers that may be under way at once. */
+    mostDirect: Int,
     post: (() -> Unit) -> Unit,
 ) {
     private val hub = Hub(
@@ -68,7 +70,7 @@
     private val metrics = Metrics()
     private val peers = PeerDesk(hub, outside.peer)
     private val settlement = Settlement(hub)
-    private val workers = WorkerDesk(hub, settlement, peers, DirectOrders(DIRECT_TIMEOUT_MS, outside.worker))
+    private val workers = WorkerDesk(hub, settlement, peers, DirectOrders(DIRECT_TIMEOUT_MS, mostDirect, outside.worker))
     private val jobs = JobDesk(hub)
     private val members = MemberDesk(hub)
     private val gangs = GangDesk(hub)
--- a/src/main/kotlin/flaxfield/node/Node.kt
+++ b/src/main/kotlin/flaxfield/node/Node.kt
@@ -5,6 +5,7 @@
 import flaxfield.net.HttpServer
 import flaxfield.net.Outbox
 import flaxfield.net.Request
+import flaxfield.net.SocketShares
 import flaxfield.peers.PeerClient
 import flaxfield.peers.PeerServer
 import flaxfield.settings.OperatorSettings
@@ -12,16 +13,11 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.nio.NioEventLoopGroup
 import org.slf4j.LoggerFactory
-import java.util.concurrent.LinkedBlockingQueue
-import java.util.concurrent.TimeUnit
-import java.util.concurrent.atomic.AtomicInteger
 
 /** One controller process: the network, the queue and the owner thread around a [Controller]. */
 class Node(private val settings: Settings, private val operator: OperatorSettings, private val incarnation: String) {
-    private val queue = LinkedBlockingQueue<Command>()
-
-    /** Outside commands in the queue; our own follow-ups are bounded by what we have open. */
-    private val outsideCommands = AtomicInteger()
+    private val intake = Intake(operator.queueCommands)
+    private val shares = SocketShares.of(settings.maxSockets)
     private val loop = NioEventLoopGroup(1)
     private val out = Outbox(loop.next() as EventLoop)
     private val controller = Controller(
@@ -33,33 +29,29 @@
             state = HttpClient(loop, out, settings.state, STORE_CONNECTIONS, STORE_WAITING),
             watch = HttpClient(loop, out, settings.state, 1, 1),
             cloud = HttpClient(loop, out, settings.cloud, 2),
-            worker = { HttpClient(loop, out, it, 1) },
+            worker = { HttpClient(loop, out, it, 1, keep = false) },
             peer = { address, onMessage -> PeerClient(loop, out, address, onMessage) },
         ),
-    ) { block -> queue.add(Command.Run(block)) }
+        shares.direct,
+    ) { block -> intake.follow(Command.Run(block)) }
 
     /** Binds both addresses, then runs as the owner thread until the process ends. */
     fun serve(): Nothing {
-        HttpServer(loop, out, ::offer).bind(settings.serveOn.host, settings.serveOn.port)
+        HttpServer(loop, out, shares, settings.workers.leaseS, ::offer).bind(settings.serveOn.host, settings.serveOn.port)
         // Peers' messages are hints: when the owner is behind they are dropped.
-        PeerServer(loop) { m, answer -> if (take()) queue.add(Command.Peer(m, answer)) }
+        PeerServer(loop) { m, answer -> intake.offer(Command.Peer(m, answer)) }
             .bind(settings.internalAddr.host, settings.internalAddr.port)
         log.info("node={} run={} serves on {}", settings.nodeName, incarnation, settings.serveOn)
         controller.start()
         out.flush()
         val batch = ArrayList<Command>(BATCH)
         while (true) {
-            val first = queue.poll(Controller.TICK_MS, TimeUnit.MILLISECONDS)
-            if (first != null) {
-                batch += first
+            if (intake.await(Controller.TICK_MS)) {
                 // What comes in the next moments is taken along: fewer wakings of either thread.
-                if (queue.size < BATCH) Thread.sleep(LINGER_MS)
-                queue.drainTo(batch, BATCH - 1)
-            }
-            for (c in batch) {
-                if (c !is Command.Run) outsideCommands.decrementAndGet()
-                controller.handle(c)
+                if (intake.size < BATCH) Thread.sleep(LINGER_MS)
+                intake.take(batch, BATCH)
             }
+            for (c in batch) controller.handle(c)
             batch.clear()
             controller.turn()
             out.flush()
@@ -68,18 +60,9 @@
 
     /** The first stage: on the network thread, refuses at once when the owner is behind. */
     private fun offer(request: Request) {
-        if (take()) {
-            queue.add(Command.Http(request))
-        } else {
-            controller.refused()
-            request.reply.send(503, Body.EMPTY, 1)
-        }
-    }
-
-    private fun take(): Boolean {
-        if (outsideCommands.get() >= operator.queueCommands) return false
-        outsideCommands.incrementAndGet()
-        return true
+        if (intake.offer(Command.Http(request))) return
+        controller.refused()
+        request.reply.send(503, Body.EMPTY, 1)
     }
 
     private companion object {
--- a/src/main/kotlin/flaxfield/workers/DirectOrders.kt
+++ b/src/main/kotlin/flaxfield/workers/DirectOrders.kt
@@ -5,31 +5,24 @@
 import flaxfield.net.Calls
 import flaxfield.settings.Address
 
-/** Sends `/do` to workers: halts and epoch pushes only, since such a command may be executed late. */
-class DirectOrders(private val timeoutMs: Long, private val connect: (Address) -> Calls) {
-    private val clients = LinkedHashMap<String, Calls>()
+/**
+ * Sends `/do` to workers: halts and epoch pushes only, since such a command may be executed late. Each goes on a
+ * connection of its own, at most [most] at once: kept open, those to workers of the past took up the sockets that
+ * others report on. What finds no place is not sent: reports get the same orders, and silent workers are pushed again.
+ */
+class DirectOrders(private val timeoutMs: Long, private val most: Int, private val connect: (Address) -> Calls) {
+    private var underWay = 0
 
-    /** The answer is not used: a report by `/do` may be older than a launch on its way. */
-    fun send(address: String, message: Map<String, Any?>) {
-        val client = clients[address] ?: open(address) ?: return
-        client.send("POST", "/do", Wire.encode(message), timeoutMs) { }
-    }
-
-    private fun open(address: String): Calls? {
+    /** The answer is not used: a report by `/do` may be older than a launch on its way. [post] leads back to the owner. */
+    fun send(address: String, message: Map<String, Any?>, post: (() -> Unit) -> Unit): Boolean {
+        if (underWay >= most) return false
         val parsed = try {
             Address.parse(address)
         } catch (e: MalformedException) {
-            return null
+            return false
         }
-        if (clients.size >= MOST) clients.remove(clients.keys.first())
-        return connect(parsed).also { clients[address] = it }
-    }
-
-    fun forget(address: String) {
-        clients.remove(address)
-    }
-
-    private companion object {
-        const val MOST = 256
+        underWay++
+        connect(parsed).send("POST", "/do", Wire.encode(message), timeoutMs) { post { underWay-- } }
+        return true
     }
 }
--- a/src/main/kotlin/flaxfield/workers/WorkerDesk.kt
+++ b/src/main/kotlin/flaxfield/workers/WorkerDesk.kt
@@ -253,9 +253,9 @@
                 if (t == null || t.state == TaskState.ENDED) null else Orders.halt(t, r)
             }
             if (halts.isEmpty()) continue
+            if (!direct.send(report.address, ReportCodec.encodeDirect(term, report.tenure, halts), hub.post)) continue
             book.haltedNs = hub.nowNs
             log.debug("host={} term={} direct={}", host, term, halts)
-            direct.send(report.address, ReportCodec.encodeDirect(term, report.tenure, halts))
         }
     }
 
@@ -331,15 +331,15 @@
             val address = book.report?.address ?: room?.address ?: continue
             val tenure = book.report?.tenure ?: room?.tenure ?: continue
             if (address.isEmpty()) continue
+            if (!direct.send(address, ReportCodec.encodeDirect(term, tenure, emptyList()), hub.post)) continue
             book.pushedNs = hub.nowNs
             log.debug("host={} epoch={} pushed", host, term)
-            direct.send(address, ReportCodec.encodeDirect(term, tenure, emptyList()))
         }
     }
 
     /** Forgets machines whose keys were dropped. */
     fun forget(host: String) {
-        books.remove(host)?.report?.let { direct.forget(it.address) }
+        books.remove(host)
         gone += host
         if (gone.size > GONE_KEPT) gone.remove(gone.first())
     }
--- /dev/null
+++ b/src/test/kotlin/flaxfield/net/DoorsTest.kt
@@ -0,0 +1,58 @@
+package flaxfield.net
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** `fd_limit` was read and nothing held to it: with one controller left, its workers and users met the limit together. */
+class DoorsTest {
+    private val closed = ArrayList<String>()
+    private val doors = Doors<String>(SocketShares(incoming = 10, users = 4, usersLeast = 2, direct = 1, backlog = 5)) { closed += it }
+
+    private fun worker(name: String, now: Long = 0) = doors.entered(name, now) && doors.asked(name, user = false, now)
+
+    private fun user(name: String, now: Long = 0) = doors.entered(name, now) && doors.asked(name, user = true, now)
+
+    @Test
+    fun `shares of the smallest and the largest limits leave room for a worker each and for ourselves`() {
+        for ((sockets, machines) in listOf(1667 to 1480, 3057 to 1662, 1200 to 1071)) {
+            val s = SocketShares.of(sockets)
+            assertTrue(s.incoming - s.usersLeast >= machines, "$sockets sockets, $machines machines: $s")
+            assertTrue(s.incoming + s.direct + 24 <= sockets, "$s")
+        }
+        assertEquals(1, SocketShares.of(1).incoming)
+    }
+
+    @Test
+    fun `users have their part, and idle ones of them make way`() {
+        for (k in 1..4) assertTrue(user("u$k"))
+        doors.answered("u2")
+        assertTrue(user("u5"), "u2 is idle and makes way")
+        assertEquals(listOf("u2"), closed)
+        assertFalse(user("u6"), "the others wait for an answer")
+        assertEquals(4, doors.users)
+    }
+
+    @Test
+    fun `workers come before users when the limit is near`() {
+        for (k in 1..4) user("u$k")
+        for (k in 1..4) doors.answered("u$k")
+        for (k in 1..10) assertTrue(worker("w$k"), "w$k")
+        assertEquals(10, doors.size)
+        assertFalse(worker("w11"), "nobody is left to make way")
+        assertEquals(listOf("u1", "u2", "u3", "u4"), closed)
+    }
+
+    @Test
+    fun `what is silent for too long is closed`() {
+        worker("w1", 10)
+        worker("w2", 20)
+        user("u1", 30)
+        doors.asked("w1", user = false, 40)
+        doors.reap(35)
+        assertEquals(listOf("w2", "u1"), closed)
+        assertEquals(1, doors.size)
+        assertEquals(0, doors.users)
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/flaxfield/node/IntakeTest.kt
@@ -0,0 +1,42 @@
+package flaxfield.node
+
+import flaxfield.net.Reply
+import flaxfield.net.Request
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+
+/** All workers came back at once, and their reports stood behind polls in one queue until their leases were over. */
+class IntakeTest {
+    private fun http(path: String) = Command.Http(Request("GET", path, "", ByteArray(0), Reply { _, _, _ -> }))
+
+    private fun kinds(batch: List<Command>) = batch.joinToString("") {
+        when (it) {
+            is Command.Run -> "o"
+            is Command.Peer -> "p"
+            is Command.Http -> if (it.request.path == "/hello") "w" else "u"
+        }
+    }
+
+    @Test
+    fun `each kind has its places, and its turn`() {
+        // users, reports and own follow-ups offered, of a queue of 10; how many get in; the first batch of 10
+        val table = listOf(
+            listOf(3, 3, 2) to "oowwwuuu",
+            listOf(20, 20, 0) to "wwwwwwwwuu",
+            listOf(20, 2, 0) to "wwuuuuu",
+            listOf(0, 0, 30) to "oooooooooo",
+            listOf(20, 20, 30) to "oooooooooouu",
+        )
+        for ((offered, batch) in table) {
+            val intake = Intake(10)
+            val users = (1..offered[0]).count { intake.offer(http("/work/job-1")) }
+            val workers = (1..offered[1]).count { intake.offer(http("/hello")) }
+            repeat(offered[2]) { intake.follow(Command.Run { }) }
+            assertEquals(minOf(5, offered[0]), users, "$offered")
+            assertEquals(minOf(10, offered[1]), workers, "$offered")
+            val taken = ArrayList<Command>()
+            intake.take(taken, 10)
+            assertEquals(batch, kinds(taken), "$offered")
+        }
+    }
+}
