--- a/src/main/kotlin/flaxfield/arrays/ArrayDesk.kt
+++ b/src/main/kotlin/flaxfield/arrays/ArrayDesk.kt
@@ -142,6 +142,8 @@
         val spoken = spokenFor()
         for (job in JobOrder.sort(waiting, guaranteed, use, JobOrder.lateMs(hub.nowMs))) {
             if (!myTurn(job)) continue
+            // Those after it are less urgent: none of them goes first for want of a change.
+            if (!hub.maySpend(Cause.ARRAY, if (fenced(job)) 2 else 1)) break
             val fit = seats.filter {
                 it.free.holds(job.spec.need) &&
                     hub.reserved.fills(job.spec, it.machine.flavor, it.machine.lendable) &&
@@ -214,13 +216,14 @@
         val most = minOf(use.allows(team.name, job.spec.need, hub.reserved.ofLimit(team.name)), MOST_PER_JOB)
         val found = ArrayRound.place(job, seats, ZoneRule(job.spec, sites), offset(job), most)
         if (found.isEmpty()) return
+        use.add(team.name, job.spec.need * found.size)
+        val cause = if (found.size >= minOf(Settlement.FEW, job.pendingCount)) Cause.ARRAY else Cause.TRICKLE
+        if (!hub.maySpend(cause, if (team.limited) 2 else 1)) return log.debug("job={} placement waits for the write budget", job.id)
         val next = job.place(found.mapValues { (_, s) -> Job.Host(s.machine.name, s.tenure) })
         val base = Settlement.write(job, next, term)
         val hosts = found.values.distinct().associate { Keys.HOST + it.machine.name to it.machine.stamp }
         val fence = if (team.limited) mapOf(fenceKey to hub.world.stamp(fenceKey)) else emptyMap()
         val bump = if (team.limited) listOf(Change.Put(fenceKey, mapOf("job" to job.id))) else emptyList()
-        use.add(team.name, job.spec.need * found.size)
-        val cause = if (found.size >= minOf(Settlement.FEW, job.pendingCount)) Cause.ARRAY else Cause.TRICKLE
         val sent = hub.commit(cause, Txn(base.conditions + hosts + fence, base.changes + bump)) { outcome ->
             if (outcome is Outcome.Committed) {
                 for ((i, s) in found) {
@@ -231,9 +234,11 @@
             }
         }
         if (sent) flying[job.id] = found.values.map { it.machine.name to job.spec.need }
-        if (!sent) log.debug("job={} placement waits for the write budget", job.id)
     }
 
+    /** Whether a placement of [job] bumps its team's fence as well. */
+    private fun fenced(job: Job) = hub.settings.teams[job.spec.owner]?.limited ?: false
+
     /** Parts start at different tasks so that they rarely want the same one. */
     private fun offset(job: Job): Int {
         val members = hub.world.assignment?.members?.map { it.name }?.sorted() ?: return 0
--- a/src/main/kotlin/flaxfield/gangs/GangDesk.kt
+++ b/src/main/kotlin/flaxfield/gangs/GangDesk.kt
@@ -9,6 +9,7 @@
 import flaxfield.fleet.Machine
 import flaxfield.fleet.MachinePhase
 import flaxfield.jobs.Job
+import flaxfield.jobs.JobSpec
 import flaxfield.jobs.Room
 import flaxfield.jobs.Settlement
 import flaxfield.jobs.Urgency
@@ -66,12 +67,13 @@
         }
         parked.keys.retainAll(waiting.mapTo(HashSet()) { it.id })
         if (waiting.isEmpty()) return
-        wake(waiting)
+        val shapes = waiting.distinctBy { Kind(it.spec) }.map { it.spec }
+        if (hub.nowNs >= nextLookNs) wake(shapes)
         val anyNew = waiting.any { it.id !in parked }
         val due = waiting.any { j -> parked[j.id]?.let { hub.nowNs >= it.untilNs } ?: false }
         if (!anyNew && !(due && hub.nowNs >= nextLookNs)) return
         nextLookNs = hub.nowNs + (hub.settings.workers.reportS * LOOK_REPORTS * NS).toLong()
-        val look = Look(seats(term), use, guaranteed, term)
+        val look = Look(seats(shapes), use, guaranteed, term)
         val late = hub.nowMs - (JobOrder.BEGIN_S * GATHER_SHARE * MS).toLong()
         val gathers = Gathering.next(waiting, late)
         val ordered = JobOrder.sort(waiting, guaranteed, use, JobOrder.lateMs(hub.nowMs))
@@ -138,8 +140,7 @@
      * More room wakes the parked, counted in tasks like theirs: any task of an array that ended, anywhere, woke
      * them all before, and their rounds were the most that a leader spent its time on.
      */
-    private fun wake(waiting: List<Job>) {
-        val shapes = waiting.distinctBy { listOf(it.spec.need, it.spec.flavors, it.spec.site, it.spec.lendable) }.map { it.spec }
+    private fun wake(shapes: List<JobSpec>) {
         var free = 0
         for (m in hub.world.machines.values) {
             if (m.phase != MachinePhase.UP) continue
@@ -150,9 +151,21 @@
         lastFree = free
     }
 
-    private fun seats(term: ULong): List<Seat> = hub.world.machines.values.mapNotNull { m -> seat(m, term) }
+    /** What decides on which machines a gang may go and how many of its tasks fit there. */
+    private data class Kind(val need: Room, val flavors: Set<String>?, val site: String?, val lendable: Boolean) {
+        constructor(s: JobSpec) : this(s.need, s.flavors, s.site, s.lendable)
+    }
+
+    /** The machines that a gang of one of [shapes] could be on now, or once others have made way. */
+    private fun seats(shapes: List<JobSpec>): List<Seat> = hub.world.machines.values.mapNotNull { m ->
+        if (shapes.none { ZoneRule.kindAllowed(it, m.flavor, m.site, m.lendable) }) return@mapNotNull null
+        seat(m)?.takeIf { s -> shapes.any { s.free.holds(it.need) } || mayEmpty(m.name) }
+    }
+
+    /** Whether anything on the machine might make way for a gang; most machines carry only gangs that run. */
+    private fun mayEmpty(host: String) = hub.world.jobsOn(host).any { !it.isGang || it.cancelled || it.id in hub.world.halting }
 
-    private fun seat(m: Machine, term: ULong): Seat? {
+    private fun seat(m: Machine): Seat? {
         if (m.phase != MachinePhase.UP || hub.world.claimOn(m) != null || hub.isBusy(Keys.HOST + m.name)) return null
         val room = hub.world.hostRoom(m.name)?.takeIf { it.state == HostState.OK } ?: return null
         return seat(m, room)
--- a/src/main/kotlin/flaxfield/jobs/Settlement.kt
+++ b/src/main/kotlin/flaxfield/jobs/Settlement.kt
@@ -40,12 +40,14 @@
             val events = proofs.events.values.toList()
             val hurry = hurry(job, events)
             if (!hurry && !gathered(proofs)) continue
+            // Not even what is most urgent may be written: the rest waits as well.
+            if (!hub.maySpend(Cause.FINISH, 1)) break
             val cause = when {
                 hurry -> Cause.FINISH
                 events.size >= FEW -> Cause.PROOF
                 else -> Cause.TRICKLE
             }
-            if (settle(job, events, term, cause)) proofs.sinceNs = hub.nowNs
+            if (hub.maySpend(cause, 1) && settle(job, events, term, cause)) proofs.sinceNs = hub.nowNs
         }
         if (hub.leads()) sweep()
     }
--- a/src/main/kotlin/flaxfield/node/Controller.kt
+++ b/src/main/kotlin/flaxfield/node/Controller.kt
@@ -206,7 +206,9 @@
 
         /** The owner wakes at least this often. */
         const val TICK_MS = 100L
-        private const val DECIDE_GAP_MS = 60L
+
+        /** Decisions are made at most this often. */
+        const val DECIDE_GAP_MS = 60L
         private const val DECIDE_ANYWAY_MS = 500L
         private const val STORE_TIMEOUT_MS = 1_500L
         private const val CLOUD_TIMEOUT_MS = 4_000L
--- a/src/main/kotlin/flaxfield/node/Follower.kt
+++ b/src/main/kotlin/flaxfield/node/Follower.kt
@@ -104,8 +104,14 @@
         jobs.viewMoved()
     }
 
-    /** Opened watches count as requests: they take at most this share of the node's part of the rate. */
-    private val gapNs = (NS_PER_S / (hub.settings.stateLimits.rps * FOLLOW_SHARE / hub.settings.size)).toLong()
+    /**
+     * Opened watches count as requests: they take at most this share of the node's part of the rate. Nor need the
+     * view be newer than decisions are made: each watch costs both sides a request.
+     */
+    private val gapNs = maxOf(
+        (NS_PER_S / (hub.settings.stateLimits.rps * FOLLOW_SHARE / hub.settings.size)).toLong(),
+        Controller.DECIDE_GAP_MS * NS_PER_MS,
+    )
 
     private companion object {
         val log = LoggerFactory.getLogger("flaxfield.store")
--- a/src/main/kotlin/flaxfield/node/Hub.kt
+++ b/src/main/kotlin/flaxfield/node/Hub.kt
@@ -152,11 +152,15 @@
         if (busy.isNotEmpty()) busy.values.removeIf { it != null && it <= world.ledger }
     }
 
+    /** Whether a transaction of [puts] changes for [cause] would be sent now: to be asked before it is built. */
+    fun maySpend(cause: Cause, puts: Int): Boolean = budget.may(cause, puts, nowNs)
+
     /**
      * Sends a transaction if the budget has room for its cause; false if not. The changed keys are busy
      * until the view shows the outcome. [done] runs on the owner thread.
      */
     fun commit(cause: Cause, txn: Txn, done: (Outcome) -> Unit = {}): Boolean {
+        if (!maySpend(cause, txn.changes.size)) return false
         if (heldBack.isNotEmpty() && txn.changes.any { (heldBack[it.key] ?: 0L) > nowNs }) return false
         val fault = Sizes.fault(txn, settings.stateLimits)
         if (fault != null) {
--- a/src/main/kotlin/flaxfield/quota/Quota.kt
+++ b/src/main/kotlin/flaxfield/quota/Quota.kt
@@ -82,14 +82,31 @@
      * Guarantee first, then priority, then the team that uses the least share, then age. Before all of these
      * come jobs submitted before [lateMs] that have not begun: none of the orders may starve one for ever.
      */
-    fun sort(jobs: Collection<Job>, guaranteed: Set<String>, use: TeamUse, lateMs: Long = 0): List<Job> = jobs.sortedWith(
-        compareBy<Job> { if (it.submittedMs < lateMs && it.placedCount == 0 && it.doneCount == 0) 0 else 1 }
-            .thenBy { if (it.id in guaranteed) 0 else 1 }
-            .thenByDescending { it.spec.urgency.ordinal }
-            .thenBy { use.share(it.spec.owner) }
-            .thenBy { it.submittedMs }
-            .thenBy { it.id },
-    )
+    fun sort(jobs: Collection<Job>, guaranteed: Set<String>, use: TeamUse, lateMs: Long = 0): List<Job> {
+        val shares = HashMap<String, Double>()
+        return jobs.map { j ->
+            Place(
+                j,
+                late = j.submittedMs < lateMs && j.placedCount == 0 && j.doneCount == 0,
+                within = j.id in guaranteed,
+                share = shares.getOrPut(j.spec.owner) { use.share(j.spec.owner) },
+            )
+        }.sortedWith(ORDER).map { it.job }
+    }
+
+    /** What a job's place depends on, worked out once and not at each comparison. */
+    private class Place(val job: Job, val late: Boolean, val within: Boolean, val share: Double)
+
+    private val ORDER = Comparator<Place> { a, b ->
+        when {
+            a.late != b.late -> if (a.late) -1 else 1
+            a.within != b.within -> if (a.within) -1 else 1
+            a.job.spec.urgency != b.job.spec.urgency -> b.job.spec.urgency.compareTo(a.job.spec.urgency)
+            a.share != b.share -> a.share.compareTo(b.share)
+            a.job.submittedMs != b.job.submittedMs -> a.job.submittedMs.compareTo(b.job.submittedMs)
+            else -> a.job.id.compareTo(b.job.id)
+        }
+    }
 
     /** Whether [job] may take the place of a task of [other] ("Preemption" in PROTOCOL-flaxfield.md). */
     fun mayPreempt(job: Job, jobGuaranteed: Boolean, other: Job, use: TeamUse): Boolean = job.spec.urgency > other.spec.urgency ||
--- a/src/main/kotlin/flaxfield/store/Budget.kt
+++ b/src/main/kotlin/flaxfield/store/Budget.kt
@@ -79,25 +79,36 @@
         upkeep.share(s.writes)
     }
 
+    /**
+     * Whether [take] would grant this now. Asked before a transaction is built: while changes were scarce, the
+     * same placements were built and refused at every turn, the most that a part spent its time on.
+     */
+    fun may(cause: Cause, puts: Int, nowNs: Long): Boolean = source(cause, puts, nowNs) != null
+
     /** Takes one request with [puts] changes if its cause may have it now. */
     fun take(cause: Cause, puts: Int, nowNs: Long): Boolean {
+        val from = source(cause, puts, nowNs) ?: return false
+        requests.take(1)
+        from.take(puts)
+        return true
+    }
+
+    /** Where the changes would be taken from; null if they may not be had now. */
+    private fun source(cause: Cause, puts: Int, nowNs: Long): Bucket? {
         requests.refill(nowNs)
         writes.refill(nowNs)
         upkeep.refill(nowNs)
-        if (!requests.allows(1, cause.reserve)) return false
+        if (!requests.allows(1, cause.reserve)) return null
         // Even an empty bucket lets a full-sized transaction through in time: it may overdraw once.
         val cost = minOf(puts, maxOf(1, (writes.rate * (1 - cause.reserve.coerceAtLeast(0.0))).toInt()))
-        val from = when {
+        return when {
             puts == 0 -> writes
             // Only what both hold together is too much at once: each may spend what the other does not need.
             cause.upkeep && upkeep.tokens >= minOf(puts, MOST_OVERDRAWN) -> upkeep
             writes.allows(cost, cause.reserve) -> writes
             !cause.upkeep && upkeep.tokens >= upkeep.rate * UPKEEP_S * SPARE_SHARE + puts -> upkeep
-            else -> return false
+            else -> null
         }
-        requests.take(1)
-        from.take(puts)
-        return true
     }
 
     private companion object {
