--- a/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
@@ -1,35 +1,30 @@
 package flaxfield.fleet
 
 import flaxfield.arrays.HostState
-import flaxfield.arrays.ZoneRule
 import flaxfield.jobs.Job
-import flaxfield.jobs.JobSpec
 import flaxfield.jobs.Room
 import flaxfield.jobs.Settlement
-import flaxfield.jobs.TaskEvent
 import flaxfield.node.Hub
-import flaxfield.quota.JobOrder
 import flaxfield.store.Cause
 import flaxfield.store.Change
 import flaxfield.store.Keys
 import flaxfield.store.Txn
 import org.slf4j.LoggerFactory
 
-/** The leader's dealings with the cloud: types, rentals, the list and returns. */
-class FleetDesk(private val hub: Hub, private val cloud: CloudClient, private val settlement: Settlement) {
+/** The leader's dealings with the cloud: types, what to rent and what to give up; returns are [ReturnDesk]'s. */
+class FleetDesk(private val hub: Hub, private val cloud: CloudClient, settlement: Settlement) {
+    private val rate = CloudRate(hub.settings.cloudRps)
+    private val demand = FleetDemand(hub)
+    private val returns = ReturnDesk(hub, cloud, rate, settlement)
+
     private class Refusal(val untilNs: Long, val times: Int)
 
     private var leading = false
     private var termSeen: ULong? = null
     private var termSinceNs = 0L
-    private var tokens = 0.0
-    private var tokensNs = 0L
     private var flavorsOpen = false
     private var nextFlavorsNs = 0L
-    private var listOpen = false
-    private var nextListNs = 0L
     private var nextPlanNs = 0L
-    private var returnOpen = false
     private var hireCount = 0
     private val asking = HashMap<String, Long>()
 
@@ -37,15 +32,9 @@
     private val granted = HashMap<String, List<String>>()
     private val refused = HashMap<Offer, Refusal>()
     private val idleSinceNs = HashMap<String, Long>()
-    private val unknownSinceNs = HashMap<String, Long>()
-    private val failed = HashSet<String>()
-
-    /** When jobs of a class came, for the spare machines; filled from the view. */
-    private val arrivals = HashMap<String, ArrayDeque<Job>>()
-    private val counted = HashSet<String>()
 
     fun run() {
-        watchArrivals()
+        demand.watchArrivals()
         if (!hub.leads()) {
             if (leading) forget()
             return
@@ -60,8 +49,7 @@
         }
         askFlavors()
         askHires()
-        giveBack()
-        askList()
+        returns.run()
         if (hub.nowNs >= nextPlanNs && hub.world.flavors.isNotEmpty()) {
             nextPlanNs = hub.nowNs + (hub.settings.workers.reportS * PLAN_REPORTS * NS).toLong()
             retire()
@@ -71,29 +59,17 @@
 
     private fun forget() {
         leading = false
+        returns.forget()
         idleSinceNs.clear()
-        unknownSinceNs.clear()
         asking.clear()
         granted.clear()
-        nextListNs = 0
         nextFlavorsNs = 0
     }
 
-    /** The cloud's limit with its burst of two seconds' worth, a little below. */
-    private fun cloudAllows(): Boolean {
-        val now = hub.nowNs
-        val rate = hub.settings.cloudRps * CLOUD_SHARE
-        tokens = if (tokensNs == 0L) rate else minOf(rate * 2, tokens + rate * (now - tokensNs) / NS)
-        tokensNs = now
-        if (tokens < 1.0) return false
-        tokens -= 1.0
-        return true
-    }
-
     private fun askFlavors() {
         if (flavorsOpen || hub.nowNs < nextFlavorsNs || hub.isBusy(Keys.TYPES)) return
         if (hub.world.flavors.isNotEmpty() && hub.nowMs - hub.world.flavorsAtMs < FLAVORS_S * MS) return
-        if (!cloudAllows()) return
+        if (!rate.allows(hub.nowNs)) return
         flavorsOpen = true
         cloud.flavors { got ->
             hub.post {
@@ -121,7 +97,7 @@
                 continue
             }
             if (hub.nowNs < (asking[h.name] ?: 0L)) continue
-            if (!cloudAllows()) return
+            if (!rate.allows(hub.nowNs)) return
             asking[h.name] = Long.MAX_VALUE
             cloud.rent(h) { r -> hub.post { rented(h, r) } }
         }
@@ -167,78 +143,6 @@
         refused[offer] = Refusal(hub.nowNs + (wait * NS).toLong(), times)
     }
 
-    private fun askList() {
-        if (listOpen || hub.nowNs < nextListNs || !cloudAllows()) return
-        listOpen = true
-        readList(null, ArrayList())
-    }
-
-    private fun readList(from: String?, soFar: ArrayList<Listed>) {
-        cloud.list(from) { page ->
-            hub.post {
-                if (page == null) {
-                    listOpen = false
-                    nextListNs = hub.nowNs + (hub.settings.listLagS * NS).toLong()
-                } else {
-                    soFar += page.hosts
-                    if (page.more && page.hosts.isNotEmpty()) readList(page.hosts.last().host, soFar) else listed(soFar)
-                }
-            }
-        }
-    }
-
-    /** The list lags, so it is a hint, but for `failed`: a machine that has stopped by itself stays so. */
-    private fun listed(hosts: List<Listed>) {
-        listOpen = false
-        nextListNs = hub.nowNs + (hub.settings.listLagS * LIST_LAGS * NS).toLong()
-        for (l in hosts) {
-            if (l.failed && l.host in hub.world.machines) failed += l.host
-        }
-        val unknown = hosts.map { it.host }.filter { it !in hub.world.machines }.toSet()
-        unknownSinceNs.keys.retainAll(unknown)
-        for (u in unknown) unknownSinceNs.putIfAbsent(u, hub.nowNs)
-    }
-
-    /** Returns what is marked as retiring, and machines listed for long that nobody knows. */
-    private fun giveBack() {
-        if (returnOpen) return
-        val limit = ((hub.settings.listLagS * 2 + GONE_LISTED_S) * NS).toLong()
-        val strangers = unknownSinceNs.filterValues { hub.nowNs - it > limit }.keys
-        val retiring = hub.world.machines.values.filter { it.phase == MachinePhase.RETIRING && !hub.isBusy(Keys.HOST + it.name) }
-            .map { it.name }
-        val names = (retiring + strangers).take(MOST_RETURNED)
-        if (names.isEmpty() || !cloudAllows()) return
-        returnOpen = true
-        cloud.giveBack(names) { ok ->
-            hub.post {
-                returnOpen = false
-                log.info("hosts={} returned, answered={}", names, ok)
-                if (ok) returned(names)
-            }
-        }
-    }
-
-    /** The answer to a return proves that the machine and everything on it is gone. */
-    private fun returned(hosts: List<String>) {
-        val empty = ArrayList<Machine>()
-        for (host in hosts) {
-            unknownSinceNs.remove(host)
-            failed.remove(host)
-            idleSinceNs.remove(host)
-            val m = hub.world.machines[host] ?: continue
-            if (!hub.leads()) continue
-            val records = hub.world.on(host)
-            for (r in records) {
-                settlement.add(TaskEvent.Left(r.job.id, r.placed.index, r.placed.attempt, host, "machine returned", false))
-            }
-            if (records.isEmpty()) empty += m
-        }
-        for (some in empty.chunked(hub.budget.bulk(hub.settings.stateLimits.txnOps))) {
-            val conditions = Settlement.fence(hub) + some.associate { Keys.HOST + it.name to it.stamp }
-            hub.commit(Cause.FLEET, Txn(conditions, some.map { Change.Drop(Keys.HOST + it.name) }))
-        }
-    }
-
     private fun retire() {
         val w = hub.world
         val changes = ArrayList<Change>()
@@ -263,7 +167,7 @@
     private fun reasonToRetire(m: Machine): String? {
         val w = hub.world
         val flavor = w.flavors[m.flavor] ?: return null
-        if (m.name in failed) return "listed as failed"
+        if (returns.failed(m.name)) return "listed as failed"
         val room = w.hostRoom(m.name) ?: return null
         val empty = w.isEmpty(m.name)
         val limit = hub.settings.workers.cancelS * CANCEL_SHARE * MS
@@ -319,7 +223,7 @@
         // Among the ordinary ones those with images, so that spares are kept where gangs start soonest.
         bins.sortWith(compareBy({ if (it.lendable) 0 else 1 }, { -(it.host?.let(w::hostRoom)?.images?.size ?: 0) }))
         val mostNew = maxOf(MOST_PER_HIRE, (hub.settings.cloudRps * MOST_PER_HIRE * hub.settings.workers.reportS * PLAN_REPORTS).toInt())
-        val packing = FleetRules.pack(demands(), bins, w.flavors, mostNew, hub.reserved::rents, load()) { o ->
+        val packing = FleetRules.pack(demand.demands(), bins, w.flavors, mostNew, hub.reserved::rents, load()) { o ->
             val r = refused[o]
             val f = w.flavors[o.flavor]
             if (f == null || r != null && now < r.untilNs) {
@@ -376,82 +280,15 @@
         }
     }
 
-    private fun demands(): List<Demand> {
-        val w = hub.world
-        val use = hub.use()
-        val guaranteed = hub.guaranteed()
-        val term = hub.term()
-        val claimed = w.machines.values.mapNotNullTo(HashSet()) { m -> w.claimOn(m)?.job }
-        val waiting = w.jobs.values.filter { it.pendingCount > 0 && !it.cancelled && it.id !in claimed && it.retryAtMs <= hub.nowMs }
-        val result = ArrayList<Demand>()
-        // How fast tasks that fill cheap machines end: so fast the queue for them moves by itself.
-        val endsPerS = w.jobs.values.filter { !it.isGang && it.spec.lendable }.sumOf { it.placedCount / maxOf(1.0, it.spec.expectS) }
-        var ahead = 0
-        for (j in JobOrder.sort(waiting, guaranteed, use, JobOrder.lateMs(hub.nowMs))) {
-            val kept = if (j.isGang) Room.NONE else hub.reserved.ofLimit(j.spec.owner)
-            val n = minOf(j.pendingCount, use.allows(j.spec.owner, j.spec.need, kept))
-            if (n <= 0 || j.isGang && n < j.spec.shards) continue
-            use.add(j.spec.owner, j.spec.need * n)
-            if (!j.isGang && j.spec.lendable) ahead += n
-            result += Demand(j.spec, n, pressing(j, if (endsPerS > 0.0) ahead / endsPerS else Double.MAX_VALUE))
-        }
-        return result + FleetRules.spares(rates(), ::lead, hub.operator.spareFactor, hub.operator.arraySpareFactor)
-    }
-
-    /**
-     * Ordinary machines cost several times as much as cheap ones: a job that may use both gets them only
-     * when it is long late, or soon when there are no cheap ones for it at all.
-     */
-    private fun pressing(j: Job, queueS: Double): Boolean {
-        val ageS = (hub.nowMs - j.submittedMs) / MS
-        val aims = hub.settings.objectives.filter { it.jobClass == j.spec.jobClass }
-        if (FleetRules.pressesToStart(ageS, lead(j.spec), queueS, aims.filter { it.kind == "wait" }.map { it.withinS })) return true
-        val within = aims.maxOfOrNull { it.withinS }
-            ?: hub.settings.workers.cancelS
-        val cheap = hub.world.machines.values.any { it.lendable && ZoneRule.kindAllowed(j.spec, it.flavor, it.site, true) }
-        return ageS > within * (if (cheap) PRESSING_SHARE else PRESSING_SHARE_ALONE)
-    }
-
-    /** What a job of this shape waits for on a fresh machine: boot and image. */
-    private fun lead(spec: JobSpec): Double {
-        val f = hub.world.flavors.values.filter { flaxfield.jobs.Validation.allowed(spec, it) }.minByOrNull { it.rate } ?: return 0.0
-        return f.readyS + spec.pullGb / f.fetchGbPerS
-    }
-
-    private fun rates(): List<ClassRate> {
-        val from = hub.nowMs - (RATE_WINDOW_S * MS).toLong()
-        return arrivals.values.mapNotNull { seen ->
-            while (seen.isNotEmpty() && seen.first().submittedMs < from) seen.removeFirst()
-            seen.lastOrNull()?.let { last -> ClassRate(last.spec, seen.sumOf { it.spec.shards } / RATE_WINDOW_S) }
-        }
-    }
-
-    private fun watchArrivals() {
-        val from = hub.nowMs - RATE_WINDOW_S * MS
-        for (j in hub.world.jobs.values) {
-            if (j.submittedMs < from || !counted.add(j.id)) continue
-            val seen = arrivals.getOrPut(j.spec.jobClass) { ArrayDeque() }
-            seen.addLast(j)
-            if (seen.size > MOST_ARRIVALS) seen.removeFirst()
-        }
-        if (counted.size > MOST_COUNTED) counted.retainAll(hub.world.jobs.keys)
-    }
-
     private companion object {
         val log = LoggerFactory.getLogger("flaxfield.fleet")
         const val NS = 1e9
         const val MS = 1000.0
         const val SURPLUS = "surplus"
-        const val CLOUD_SHARE = 0.9
         const val FLAVORS_S = 60.0
         const val PLAN_REPORTS = 0.4
-        const val LIST_LAGS = 1.0
         const val REFUSED_DOUBLINGS = 3
 
-        /** PROTOCOL-flaxfield.md: a machine that dies stays listed for about 30 s more. */
-        const val GONE_LISTED_S = 30.0
-        const val MOST_RETURNED = 100
-
         /** PROTOCOL-flaxfield.md: at most so many machines a rental. */
         const val MOST_PER_HIRE = 50
 
@@ -460,12 +297,5 @@
 
         /** A cancelled task still there after this share of `cancel_s` costs its machine. */
         const val CANCEL_SHARE = 0.5
-
-        /** A job that has waited this share of its longest aim is pressing; sooner where nothing cheap is to be had. */
-        const val PRESSING_SHARE = 2.0
-        const val PRESSING_SHARE_ALONE = 0.2
-        const val RATE_WINDOW_S = 120.0
-        const val MOST_ARRIVALS = 200
-        const val MOST_COUNTED = 10_000
     }
 }
--- /dev/null
+++ b/src/main/kotlin/flaxfield/fleet/ReturnDesk.kt
@@ -0,0 +1,116 @@
+package flaxfield.fleet
+
+import flaxfield.jobs.Settlement
+import flaxfield.jobs.TaskEvent
+import flaxfield.node.Hub
+import flaxfield.store.Cause
+import flaxfield.store.Change
+import flaxfield.store.Keys
+import flaxfield.store.Txn
+import org.slf4j.LoggerFactory
+
+/** The leader's returns, and the cloud's list, which tells of machines that have stopped or that nobody knows. */
+class ReturnDesk(private val hub: Hub, private val cloud: CloudClient, private val rate: CloudRate, private val settlement: Settlement) {
+    private var listOpen = false
+    private var nextListNs = 0L
+    private var returnOpen = false
+    private val unknownSinceNs = HashMap<String, Long>()
+    private val failed = HashSet<String>()
+
+    fun run() {
+        giveBack()
+        askList()
+    }
+
+    /** This node leads no more: what it saw in lists is of no use to it. */
+    fun forget() {
+        unknownSinceNs.clear()
+        nextListNs = 0
+    }
+
+    /** Whether the cloud has listed [host] as stopped by itself. */
+    fun failed(host: String): Boolean = host in failed
+
+    private fun askList() {
+        if (listOpen || hub.nowNs < nextListNs || !rate.allows(hub.nowNs)) return
+        listOpen = true
+        readList(null, ArrayList())
+    }
+
+    private fun readList(from: String?, soFar: ArrayList<Listed>) {
+        cloud.list(from) { page ->
+            hub.post {
+                if (page == null) {
+                    listOpen = false
+                    nextListNs = hub.nowNs + (hub.settings.listLagS * NS).toLong()
+                } else {
+                    soFar += page.hosts
+                    if (page.more && page.hosts.isNotEmpty()) readList(page.hosts.last().host, soFar) else listed(soFar)
+                }
+            }
+        }
+    }
+
+    /** The list lags, so it is a hint, but for `failed`: a machine that has stopped by itself stays so. */
+    private fun listed(hosts: List<Listed>) {
+        listOpen = false
+        nextListNs = hub.nowNs + (hub.settings.listLagS * LIST_LAGS * NS).toLong()
+        for (l in hosts) {
+            if (l.failed && l.host in hub.world.machines) failed += l.host
+        }
+        val unknown = hosts.map { it.host }.filter { it !in hub.world.machines }.toSet()
+        unknownSinceNs.keys.retainAll(unknown)
+        for (u in unknown) unknownSinceNs.putIfAbsent(u, hub.nowNs)
+    }
+
+    /** Returns what is marked as retiring, and machines listed for long that nobody knows. */
+    private fun giveBack() {
+        if (returnOpen) return
+        val limit = ((hub.settings.listLagS * 2 + GONE_LISTED_S) * NS).toLong()
+        val strangers = unknownSinceNs.filterValues { hub.nowNs - it > limit }.keys
+        val retiring = hub.world.machines.values.filter { it.phase == MachinePhase.RETIRING && !hub.isBusy(Keys.HOST + it.name) }
+            .map { it.name }
+        val names = (retiring + strangers).take(MOST_RETURNED)
+        if (names.isEmpty() || !rate.allows(hub.nowNs)) return
+        returnOpen = true
+        cloud.giveBack(names) { ok ->
+            hub.post {
+                returnOpen = false
+                log.info("hosts={} returned, answered={}", names, ok)
+                if (ok) returned(names)
+            }
+        }
+    }
+
+    /** The answer to a return proves that the machine and everything on it is gone. */
+    private fun returned(hosts: List<String>) {
+        val empty = ArrayList<Machine>()
+        for (host in hosts) {
+            unknownSinceNs.remove(host)
+            failed.remove(host)
+            val m = hub.world.machines[host] ?: continue
+            if (!hub.leads()) continue
+            val records = hub.world.on(host)
+            for (r in records) {
+                settlement.add(TaskEvent.Left(r.job.id, r.placed.index, r.placed.attempt, host, "machine returned", false))
+            }
+            if (records.isEmpty()) empty += m
+        }
+        for (some in empty.chunked(hub.budget.bulk(hub.settings.stateLimits.txnOps))) {
+            val conditions = Settlement.fence(hub) + some.associate { Keys.HOST + it.name to it.stamp }
+            hub.commit(Cause.FLEET, Txn(conditions, some.map { Change.Drop(Keys.HOST + it.name) }))
+        }
+    }
+
+    private companion object {
+        val log = LoggerFactory.getLogger("flaxfield.fleet")
+        const val NS = 1e9
+        const val LIST_LAGS = 1.0
+
+        /** PROTOCOL-flaxfield.md: a machine that dies stays listed for about 30 s more. */
+        const val GONE_LISTED_S = 30.0
+
+        /** PROTOCOL-flaxfield.md: at most so many names a return. */
+        const val MOST_RETURNED = 100
+    }
+}
--- a/src/test/kotlin/flaxfield/fleet/FleetRulesTest.kt
+++ b/src/test/kotlin/flaxfield/fleet/FleetRulesTest.kt
@@ -121,4 +121,12 @@
         assertEquals(h, FleetCodec.hire(Wire.decode(Wire.encode(FleetCodec.encode(h))), "live/hire/n-1", 2uL))
         assertEquals(flavors, FleetCodec.flavors(Wire.decode(Wire.encode(FleetCodec.encodeFlavors(flavors.values, 5)))))
     }
+
+    @Test
+    fun `the cloud is asked within its rate and its burst`() {
+        // The limit is 3 a second with bursts of two seconds' worth; asked beyond it, the cloud refuses the urgent with the rest.
+        val rate = CloudRate(3.0)
+        val asked = { atS: Double, n: Int -> (1..n).count { rate.allows((atS * 1e9).toLong()) } }
+        assertEquals(listOf(2, 0, 2, 5), listOf(asked(1.0, 10), asked(1.1, 10), asked(1.8, 10), asked(60.0, 10)))
+    }
 }
