Small jobs placed by the write that accepts them; less looked at each turn

A job of a swarm took four changes: accepted, placed, moved to the finished ones, dropped.

Changed: ArrayDesk.begin places a job of up to four tasks with the change that accepts it, where its turn has come; gangs and claimed machines are kept with the view; a round whose seats have too little room in all ends before it sorts them; work without an aim gets dear machines only lest it never begins or ends.

--- a/src/main/kotlin/flaxfield/arrays/ArrayDesk.kt
+++ b/src/main/kotlin/flaxfield/arrays/ArrayDesk.kt
@@ -93,7 +93,8 @@
 
     /** Where the leader claims a machine for a more urgent gang, tasks make way as far as the rules allow. */
     private fun evict(term: ULong) {
-        val claimed = hub.mine().filter { hub.world.claimOn(it)?.evict ?: false }
+        val claimed = hub.world.claimed.mapNotNull { hub.world.machines[it] }
+            .filter { hub.owns(it) && hub.world.claimOn(it)?.evict ?: false }
         if (claimed.isEmpty()) return
         val use = hub.use()
         val guaranteed = hub.guaranteed()
@@ -120,6 +121,8 @@
     }
 
     private fun place(term: ULong) {
+        // Asked before anything is looked at: while changes were scarce, sorting the waiting jobs each turn was in vain.
+        if (!hub.maySpend(Cause.ARRAY, 1)) return
         val w = hub.world
         flying.values.removeIf { f -> f.keys.none { hub.isBusy(it) } }
         val waiting = w.jobs.values.filter {
@@ -138,6 +141,22 @@
             waiting.minOf { it.spec.need.gpus },
             waiting.minOf { it.spec.need.ram },
         )
+        val seats = seats(least)
+        if (seats.isEmpty()) return
+        val use = hub.use()
+        val guaranteed = hub.guaranteed()
+        for (job in JobOrder.sort(waiting, guaranteed, use, JobOrder.lateMs(hub.nowMs))) {
+            if (!myTurn(job)) continue
+            // Those after it are less urgent: none of them goes first for want of a change.
+            if (!hub.maySpend(Cause.ARRAY, if (fenced(job)) 2 else 1)) break
+            val fit = fit(job, seats)
+            if (fit.isNotEmpty()) placeJob(job, fit, use, term)
+        }
+    }
+
+    /** Our machines that take arrays now and have at least so much room, less what placements on their way have taken. */
+    private fun seats(least: Room): List<Seat> {
+        val w = hub.world
         val seats = hub.mine().mapNotNull { m ->
             val free = w.free(m)?.takeIf { it.holds(least) } ?: return@mapNotNull null
             if (!open(m)) return@mapNotNull null
@@ -147,23 +166,43 @@
             if (places <= 0) null else Seat(m, report.tenure, free, book.images.keys, w.isEmpty(m.name), places)
         }
         assumeFlying(seats)
-        if (seats.isEmpty()) return
-        val use = hub.use()
-        val guaranteed = hub.guaranteed()
+        return seats
+    }
+
+    /** The seats that a task of [job] may take. */
+    private fun fit(job: Job, seats: List<Seat>): List<Seat> {
         val spoken = spokenFor()
-        for (job in JobOrder.sort(waiting, guaranteed, use, JobOrder.lateMs(hub.nowMs))) {
-            if (!myTurn(job)) continue
-            // Those after it are less urgent: none of them goes first for want of a change.
-            if (!hub.maySpend(Cause.ARRAY, if (fenced(job)) 2 else 1)) break
-            val fit = seats.filter {
-                it.free.holds(job.spec.need) &&
-                    hub.reserved.fills(job.spec, it.machine.flavor, it.machine.lendable) &&
-                    !(it.machine.flavor in spoken && hub.reserved.guests(job.spec, it.machine.flavor, it.machine.lendable))
-            }
-            if (fit.isNotEmpty()) placeJob(job, fit, use, term)
+        return seats.filter {
+            it.free.holds(job.spec.need) &&
+                hub.reserved.fills(job.spec, it.machine.flavor, it.machine.lendable) &&
+                !(it.machine.flavor in spoken && hub.reserved.guests(job.spec, it.machine.flavor, it.machine.lendable))
         }
     }
 
+    /** A job as it is submitted, with its tasks placed, and the conditions of that. */
+    class Begun(val job: Job, val conditions: Map<String, ULong>)
+
+    /**
+     * Places a small job that is just being submitted, so that its record is accepted and placed by one change. Only
+     * where its turn has come: no job that waits for room, on whichever part, goes before it. Null if it is to wait.
+     */
+    fun begin(job: Job): Begun? {
+        val term = hub.term() ?: return null
+        if (job.isGang || job.spec.shards > SMALL_TASKS || fenced(job) || !hub.mayDecide()) return null
+        val waiting = hub.world.jobs.values.filter { !it.isGang && !it.cancelled && it.pendingCount > 0 && it.retryAtMs <= hub.nowMs }
+        val use = hub.use()
+        if (JobOrder.sort(waiting + job, hub.guaranteed(), use, JobOrder.lateMs(hub.nowMs)).first() !== job) return null
+        val seats = fit(job, seats(job.spec.need))
+        val most = use.allows(job.spec.owner, job.spec.need, hub.reserved.ofLimit(job.spec.owner))
+        val found = ArrayRound.place(job, seats, ZoneRule(job.spec, emptyList()), 0, ArrayRound.Limits(most))
+        if (found.size < job.spec.shards) return null
+        val next = job.place(found.mapValues { (_, s) -> Job.Host(s.machine.name, s.tenure) })
+        flying[job.id] = Flying(listOf(Keys.JOB + job.id), found.values.map { it.machine.name to job.spec.need })
+        return Begun(next, Settlement.write(job, next, term).conditions + stamps(found.values))
+    }
+
+    private fun stamps(seats: Collection<Seat>) = seats.distinct().associate { Keys.HOST + it.machine.name to it.machine.stamp }
+
     private var spoken: Set<String> = emptySet()
     private var nextSpokenNs = 0L
 
@@ -239,7 +278,7 @@
         if (!hub.maySpend(cause, if (team.limited) 2 else 1)) return log.debug("job={} placement waits for the write budget", job.id)
         val next = job.place(found.mapValues { (_, s) -> Job.Host(s.machine.name, s.tenure) })
         val base = Settlement.write(job, next, term)
-        val hosts = found.values.distinct().associate { Keys.HOST + it.machine.name to it.machine.stamp }
+        val hosts = stamps(found.values)
         val fence = if (team.limited) mapOf(fenceKey to hub.world.stamp(fenceKey)) else emptyMap()
         val bump = if (team.limited) listOf(Change.Put(fenceKey, mapOf("job" to job.id))) else emptyList()
         val sent = hub.commit(cause, Txn(base.conditions + hosts + fence, base.changes + bump)) { outcome ->
@@ -274,6 +313,9 @@
         /** Bounded work per decision; the rest follows in the next one. */
         const val MOST_PER_JOB = 256
 
+        /** A job of so few tasks may be placed by the very write that accepts it. */
+        const val SMALL_TASKS = 4
+
         /** Each machine is a condition of the write, and these may be four times as many as changes. */
         const val MOST_HOSTS = 64
 
--- a/src/main/kotlin/flaxfield/fleet/FleetRules.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetRules.kt
@@ -4,6 +4,7 @@
 import flaxfield.jobs.JobSpec
 import flaxfield.jobs.Room
 import flaxfield.jobs.Shape
+import flaxfield.quota.JobOrder
 
 /** Room that is there or on its way, as the demand is packed into it. */
 class Bin(val host: String?, val flavor: String, val site: String, val lendable: Boolean, var free: Room)
@@ -96,6 +97,15 @@
         return ageS + leadS * LEAD_MARGIN > open && ageS + queueS > open * QUEUE_SHARE
     }
 
+    /**
+     * The same for a job of a class without aims: guests' idle work was given dear machines as soon as it had waited for
+     * two cancellations. It gets them if else it would not begin in time, or seems never to be done.
+     */
+    fun pressesWithoutAim(ageS: Double, begun: Boolean): Boolean = ageS > JobOrder.BEGIN_S * (if (begun) STUCK_SHARE else UNBEGUN_SHARE)
+
+    private const val UNBEGUN_SHARE = 0.5
+    private const val STUCK_SHARE = 2.0
+
     /**
      * A queue that is through within the aim needs no dear machines. With half of the aim as the limit a calm day of
      * stimmpost-zentrale-fleet rented 250 of them beside cheap ones that still booted, and met no aim more for it.
--- a/src/main/kotlin/flaxfield/gangs/GangDesk.kt
+++ b/src/main/kotlin/flaxfield/gangs/GangDesk.kt
@@ -47,9 +47,9 @@
         }
         val term = hub.term() ?: return
         val w = hub.world
-        val claims = w.machines.values.filter { w.claimOn(it) != null }.groupBy { it.claim?.job.orEmpty() }
+        val claims = w.claimed.mapNotNull { w.machines[it] }.filter { w.claimOn(it) != null }.groupBy { it.claim?.job.orEmpty() }
         claimedSince.keys.retainAll(claims.keys)
-        val gangs = w.jobs.values.filter { it.isGang }
+        val gangs = w.gangs.mapNotNull { w.jobs[it] }
         if (gangs.isEmpty() && claims.isEmpty()) return
         val use = hub.use()
         val guaranteed = hub.guaranteed()
@@ -67,11 +67,11 @@
         }
         parked.keys.retainAll(waiting.mapTo(HashSet()) { it.id })
         if (waiting.isEmpty()) return
+        val anyNew = waiting.any { it.id !in parked }
+        if (!anyNew && hub.nowNs < nextLookNs) return
         val shapes = waiting.distinctBy { Kind(it.spec) }.map { it.spec }
         if (hub.nowNs >= nextLookNs) wake(shapes)
-        val anyNew = waiting.any { it.id !in parked }
-        val due = waiting.any { j -> parked[j.id]?.let { hub.nowNs >= it.untilNs } ?: false }
-        if (!anyNew && !(due && hub.nowNs >= nextLookNs)) return
+        if (!anyNew && waiting.none { j -> parked[j.id]?.let { hub.nowNs >= it.untilNs } ?: false }) return
         nextLookNs = hub.nowNs + (hub.settings.workers.reportS * LOOK_REPORTS * NS).toLong()
         val look = Look(seats(shapes), use, guaranteed, term)
         val late = hub.nowMs - (JobOrder.BEGIN_S * GATHER_SHARE * MS).toLong()
--- a/src/main/kotlin/flaxfield/gangs/GangRound.kt
+++ b/src/main/kotlin/flaxfield/gangs/GangRound.kt
@@ -68,6 +68,9 @@
         val rule = ZoneRule(spec, emptyList())
         val assumed = LinkedHashMap<Int, Seat>()
         val minimum = minimum(job)
+        // Early stop before the first task: without scatter the seats' room alone tells that the minimum is out of reach.
+        val room = fit.sumOf { minOf(it.free.count(spec.need), spec.shards) }
+        if (room < minimum && !spec.scatter) return Round.Short(room, minimum - room - 1)
         val order = fit.sortedWith(
             compareBy<Seat> { if (spec.bundle in it.images) 0 else 1 }
                 .thenBy { if (it.empty) 0 else 1 }
--- a/src/main/kotlin/flaxfield/jobs/JobDesk.kt
+++ b/src/main/kotlin/flaxfield/jobs/JobDesk.kt
@@ -2,6 +2,7 @@
 
 import com.github.benmanes.caffeine.cache.Cache
 import com.github.benmanes.caffeine.cache.Caffeine
+import flaxfield.arrays.ArrayDesk
 import flaxfield.codec.MalformedException
 import flaxfield.codec.Wire
 import flaxfield.net.Body
@@ -19,7 +20,7 @@
 import org.slf4j.LoggerFactory
 
 /** Users' requests: submit, status, cancel. Nothing is told before it is committed. */
-class JobDesk(private val hub: Hub) {
+class JobDesk(private val hub: Hub, private val begin: (Job) -> ArrayDesk.Begun?) {
     private class Waiter(val id: String, val reply: Reply, val sinceNs: Long, val then: (Job?) -> Unit) {
         /** The view must have reached this ledger; null until a read has told it. */
         var need: ULong? = null
@@ -50,12 +51,18 @@
         val refusal = Validation.refuse(spec, hub.settings.teams, hub.world.flavors)
         if (refusal != null) return refused(spec, refusal, reply)
         if (stateSeemsAway()) return later(reply, "the state service does not answer")
-        val job = Job(spec, hub.nowMs, null, emptyList(), 0, 0, chunkTasks, mapOf(0 to Chunk.empty()), 0uL)
+        accept(Job(spec, hub.nowMs, null, emptyList(), 0, 0, chunkTasks, mapOf(0 to Chunk.empty()), 0uL), reply, mayBegin = true)
+    }
+
+    private fun accept(job: Job, reply: Reply, mayBegin: Boolean) {
+        val spec = job.spec
         val key = Keys.JOB + spec.id
         if (hub.isBusy(key)) return later(reply, "a submission of this job is under way")
+        if (!hub.maySpend(Cause.SUBMIT, 1)) return later(reply, "too many submissions")
+        val begun = if (mayBegin) begin(job) else null
         val txn = Txn(
-            mapOf(key to 0uL, Keys.OVER + spec.id to 0uL),
-            listOf(Change.Put(key, JobCodec.encodeHead(job))),
+            begun?.conditions.orEmpty() + mapOf(key to 0uL, Keys.OVER + spec.id to 0uL),
+            listOf(Change.Put(key, JobCodec.encodeHead(begun?.job ?: job))),
         )
         val sent = hub.commit(Cause.SUBMIT, txn) { outcome ->
             when (outcome) {
@@ -70,10 +77,13 @@
                         spec.pullGb,
                         spec.expectS,
                     )
+                    for (p in begun?.job?.allPlaced().orEmpty()) {
+                        log.info("job={} task={} attempt={} host={} term={} placed as accepted", job.id, p.index, p.attempt, p.host, hub.term())
+                    }
                     answer(reply, 201, mapOf("id" to spec.id, "phase" to "pending"))
                 }
-                // Known already: its state is answered as to any poll.
-                is Outcome.Conflict -> status(spec.id, reply)
+                // A machine or the assignment has changed meanwhile, or the job is known already: the plain record tells.
+                is Outcome.Conflict -> if (begun != null) accept(job, reply, mayBegin = false) else status(spec.id, reply)
                 else -> later(reply, "the state service does not answer")
             }
         }
--- a/src/main/kotlin/flaxfield/store/World.kt
+++ b/src/main/kotlin/flaxfield/store/World.kt
@@ -63,6 +63,10 @@
     /** Jobs of which some task is to leave its machine: cancelled, or told to stop. */
     val halting = HashSet<String>()
 
+    /** Jobs that are gangs, and machines that carry a claim, valid or void: the leader looks at them each turn. */
+    val gangs = LinkedHashSet<String>()
+    val claimed = HashSet<String>()
+
     /** Grow with each change of a job or of a machine: what is derived from them is kept as long. */
     var jobsVersion = 0L
         private set
@@ -92,6 +96,8 @@
         placedOn.clear()
         freeOn.clear()
         halting.clear()
+        gangs.clear()
+        claimed.clear()
         jobsVersion++
         machinesVersion++
         flavors = emptyMap()
@@ -122,7 +128,9 @@
             key.startsWith(Keys.PART) -> setPart(key.removePrefix(Keys.PART), value, stamp)
             key.startsWith(Keys.HOST) -> {
                 machinesVersion++
-                set(machines, key.removePrefix(Keys.HOST), value) { FleetCodec.machine(it, key, stamp) }
+                val name = key.removePrefix(Keys.HOST)
+                set(machines, name, value) { FleetCodec.machine(it, key, stamp) }
+                if (machines[name]?.claim != null) claimed += name else claimed -= name
             }
             key.startsWith(Keys.ROOM) -> setRoom(key, value?.let(RoomCodec::decode))
             key.startsWith(Keys.MEMBER) -> set(members, key.removePrefix(Keys.MEMBER), value) { MemberCodec.member(it) }
@@ -195,6 +203,7 @@
             now?.values?.forEach { p -> if (was?.get(p.index) != p) enters(id, p) }
         }
         if (new == null) jobs.remove(id) else jobs[id] = new
+        if (new?.isGang == true) gangs += id else gangs -= id
         val halts = new != null && new.placedCount > 0 && (new.cancelled || new.allPlaced().any { it.stopping })
         if (halts) halting += id else halting -= id
     }
--- a/src/test/kotlin/flaxfield/fleet/FleetRulesTest.kt
+++ b/src/test/kotlin/flaxfield/fleet/FleetRulesTest.kt
@@ -76,6 +76,18 @@
         assertEquals(false, FleetRules.pressesToStart(1.0, 57.0, 60.0, listOf(80.0, 200.0)), "the queue is through in time")
     }
 
+    @Test
+    fun `work without an aim gets dear machines only lest it never begins or ends`() {
+        val table = listOf(
+            Triple(119.0, false, false),
+            Triple(121.0, false, true),
+            Triple(121.0, true, false),
+            Triple(479.0, true, false),
+            Triple(481.0, true, true),
+        )
+        for ((age, begun, want) in table) assertEquals(want, FleetRules.pressesWithoutAim(age, begun), "$age s, begun $begun")
+    }
+
     @Test
     fun `room that is there or on its way is used first`() {
         val bins = { listOf(Bin("h1", "big", "a", false, one), Bin("h2", "big", "a", true, one * 2), Bin(null, "big", "b", true, one * 4)) }
