Gangs before ends in the write budget; nothing looked at that can't be written; held seats

The ends of the swarm's jobs went before gangs' claims.

Changed: GANG before FINISH; ends of small idle jobs (CLOSE) after placements; gangs and claims ask the budget first; small demands packed together; HeldSeats keeps much smaller tasks off machines that a job before them waits for. WorkerDesk split: HostWatch, StopDesk.

--- a/src/main/kotlin/flaxfield/arrays/ArrayDesk.kt
+++ b/src/main/kotlin/flaxfield/arrays/ArrayDesk.kt
@@ -14,12 +14,13 @@
 import flaxfield.store.Keys
 import flaxfield.store.Outcome
 import flaxfield.store.Txn
+import flaxfield.workers.HostWatch
 import flaxfield.workers.Orders
-import flaxfield.workers.WorkerDesk
+import flaxfield.workers.StopDesk
 import org.slf4j.LoggerFactory
 
 /** This node's part: places arrays on its own machines, tells their room, and clears claimed machines. */
-class ArrayDesk(private val hub: Hub, private val workers: WorkerDesk) {
+class ArrayDesk(private val hub: Hub, private val hosts: HostWatch, private val stops: StopDesk) {
     private var pages = 1
     private var pagesTerm: ULong? = null
     private val sent = HashMap<Int, RoomSummary>()
@@ -53,7 +54,7 @@
         val mine = hub.mine()
         pages = RoomPages.count(mine.size, hub.settings.stateLimits.valueKb, pages)
         val dealt = Array(pages) { HashMap<String, HostRoom>() }
-        for (m in mine) dealt[RoomPages.page(m.name, pages)][m.name] = workers.book(m.name).room(workers.state(m.name))
+        for (m in mine) dealt[RoomPages.page(m.name, pages)][m.name] = hosts.book(m.name).room(hosts.state(m.name))
         // A machine that came up or fell silent is news at once; which images it holds may wait a little.
         val withImages = hub.nowNs >= nextImagesNs
         if (withImages) nextImagesNs = hub.nowNs + (hub.settings.workers.reportS * IMAGES_REPORTS * NS).toLong()
@@ -86,7 +87,7 @@
             if (m.phase != MachinePhase.DRAINING) continue
             val on = hub.world.on(m.name).filter { !it.placed.stopping && !it.job.isGang }
             for ((id, list) in on.groupBy { it.job.id }) {
-                workers.stop(id, list.map { it.placed.index }, term, "${m.name} is to be returned")
+                stops.stop(id, list.map { it.placed.index }, term, "${m.name} is to be returned")
             }
         }
     }
@@ -115,7 +116,7 @@
                 chosen += v.job.id to v.placed.index
             }
             for ((id, tasks) in chosen.groupBy({ it.first }, { it.second })) {
-                workers.stop(id, tasks, term, "room for ${gang.id} on ${m.name}")
+                stops.stop(id, tasks, term, "room for ${gang.id} on ${m.name}")
             }
         }
     }
@@ -145,12 +146,16 @@
         if (seats.isEmpty()) return
         val use = hub.use()
         val guaranteed = hub.guaranteed()
+        val held = HeldSeats { hub.world.flavors[it.machine.flavor]?.room ?: Room.NONE }
+        val members = hub.world.assignment?.members?.size ?: 1
         for (job in JobOrder.sort(waiting, guaranteed, use, JobOrder.lateMs(hub.nowMs))) {
             if (!myTurn(job)) continue
             // Those after it are less urgent: none of them goes first for want of a change.
             if (!hub.maySpend(Cause.ARRAY, if (fenced(job)) 2 else 1)) break
-            val fit = fit(job, seats)
-            if (fit.isNotEmpty()) placeJob(job, fit, use, term)
+            val fit = fit(job, seats).filter { held.offered(job.spec, it) }
+            val placed = if (fit.isEmpty()) 0 else placeJob(job, fit, use, term)
+            val missing = minOf(job.pendingCount - placed, use.allows(job.spec.owner, job.spec.need, hub.reserved.ofLimit(job.spec.owner)))
+            if (missing > 0 && !job.suspect) held.hold(job.spec, missing / members + 1, seats) { suits(job, it) }
         }
     }
 
@@ -160,7 +165,7 @@
         val seats = hub.mine().mapNotNull { m ->
             val free = w.free(m)?.takeIf { it.holds(least) } ?: return@mapNotNull null
             if (!open(m)) return@mapNotNull null
-            val book = workers.book(m.name)
+            val book = hosts.book(m.name)
             val report = book.report ?: return@mapNotNull null
             val places = Orders.MOST_TASKS - w.tasksOn(m.name)
             if (places <= 0) null else Seat(m, report.tenure, free, book.images.keys, w.isEmpty(m.name), places)
@@ -170,14 +175,10 @@
     }
 
     /** The seats that a task of [job] may take. */
-    private fun fit(job: Job, seats: List<Seat>): List<Seat> {
-        val spoken = spokenFor()
-        return seats.filter {
-            it.free.holds(job.spec.need) &&
-                hub.reserved.fills(job.spec, it.machine.flavor, it.machine.lendable) &&
-                !(it.machine.flavor in spoken && hub.reserved.guests(job.spec, it.machine.flavor, it.machine.lendable))
-        }
-    }
+    private fun fit(job: Job, seats: List<Seat>): List<Seat> = seats.filter { it.free.holds(job.spec.need) && suits(job, it) }
+
+    private fun suits(job: Job, s: Seat): Boolean = hub.reserved.fills(job.spec, s.machine.flavor, s.machine.lendable) &&
+        !(s.machine.flavor in spokenFor() && hub.reserved.guests(job.spec, s.machine.flavor, s.machine.lendable))
 
     /** A job as it is submitted, with its tasks placed, and the conditions of that. */
     class Begun(val job: Job, val conditions: Map<String, ULong>)
@@ -257,12 +258,13 @@
     private fun open(m: Machine): Boolean = m.phase == MachinePhase.UP &&
         hub.world.claimOn(m) == null &&
         !hub.isBusy(Keys.HOST + m.name) &&
-        workers.state(m.name) == HostState.OK
+        hosts.state(m.name) == HostState.OK
 
-    private fun placeJob(job: Job, seats: List<Seat>, use: TeamUse, term: ULong) {
-        val team = hub.settings.teams[job.spec.owner] ?: return
+    /** Sends a placement of what fits now; how many tasks it is of. */
+    private fun placeJob(job: Job, seats: List<Seat>, use: TeamUse, term: ULong): Int {
+        val team = hub.settings.teams[job.spec.owner] ?: return 0
         val fenceKey = Keys.TEAM + team.name
-        if (team.limited && hub.isBusy(fenceKey)) return
+        if (team.limited && hub.isBusy(fenceKey)) return 0
         val sites = if (job.spec.samePlace || job.spec.scatter) {
             job.allPlaced().map { hub.world.machines[it.host]?.site.orEmpty() }.toList()
         } else {
@@ -272,10 +274,13 @@
         val most = minOf(use.allows(team.name, job.spec.need, hub.reserved.ofLimit(team.name)), MOST_PER_JOB, width - job.placedCount)
         val limits = ArrayRound.Limits(most, MOST_HOSTS, Settlement.chunksAtOnce(hub.settings.stateLimits))
         val found = ArrayRound.place(job, seats, ZoneRule(job.spec, sites), offset(job), limits) { !hub.isBusy(Keys.chunk(job.id, it)) }
-        if (found.isEmpty()) return
+        if (found.isEmpty()) return 0
         use.add(team.name, job.spec.need * found.size)
         val cause = if (found.size >= minOf(Settlement.FEW, job.pendingCount)) Cause.ARRAY else Cause.TRICKLE
-        if (!hub.maySpend(cause, if (team.limited) 2 else 1)) return log.debug("job={} placement waits for the write budget", job.id)
+        if (!hub.maySpend(cause, if (team.limited) 2 else 1)) {
+            log.debug("job={} placement waits for the write budget", job.id)
+            return found.size
+        }
         val next = job.place(found.mapValues { (_, s) -> Job.Host(s.machine.name, s.tenure) })
         val base = Settlement.write(job, next, term)
         val hosts = stamps(found.values)
@@ -291,6 +296,7 @@
             }
         }
         if (sent) flying[job.id] = Flying(base.changes.map { it.key }, found.values.map { it.machine.name to job.spec.need })
+        return found.size
     }
 
     /** How soon a machine for [job] is up once it is rented. */
--- a/src/main/kotlin/flaxfield/arrays/Placement.kt
+++ b/src/main/kotlin/flaxfield/arrays/Placement.kt
@@ -132,6 +132,36 @@
     private const val LEAST_RENTED = 32
 }
 
+/**
+ * Machines kept from much smaller tasks while a job that goes before them waits for room: each place that came free was too
+ * small for it and was filled again at once, and jobs within their guarantee waited behind a guest's swarm.
+ */
+class HeldSeats(private val whole: (Seat) -> Room) {
+    private val holders = HashMap<String, JobSpec>()
+
+    /** Whether a task of [spec] may be put on [seat]: it is not held, or only for tasks of about its size. */
+    fun offered(spec: JobSpec, seat: Seat): Boolean = holders[seat.machine.name]?.let { !muchSmaller(spec, it) } ?: true
+
+    /** Keeps machines for [tasks] of [spec]: those that lack the least, as many as hold them once they are empty. */
+    fun hold(spec: JobSpec, tasks: Int, seats: List<Seat>, suits: (Seat) -> Boolean) {
+        var left = tasks
+        val fit = seats.filter {
+            it.machine.name !in holders && ZoneRule.kindAllowed(spec, it.machine.flavor, it.machine.site, it.machine.lendable) && suits(it)
+        }
+        for (s in fit.sortedWith(compareBy({ -it.free.gpus }, { -it.free.cpus }, { it.machine.name }))) {
+            if (left <= 0) return
+            holders[s.machine.name] = spec
+            left -= whole(s).count(spec.need).coerceAtLeast(1)
+        }
+    }
+
+    private fun muchSmaller(spec: JobSpec, than: JobSpec) = spec.need.cpus * MUCH <= than.need.cpus && spec.need.gpus * MUCH <= than.need.gpus
+
+    private companion object {
+        const val MUCH = 4
+    }
+}
+
 /** Pure: which of a part's machines take which tasks of an array. */
 object ArrayRound {
     /** What one write holds: tasks, machines, and chunks of the job's records. */
--- a/src/main/kotlin/flaxfield/fleet/FleetDemand.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetDemand.kt
@@ -37,7 +37,7 @@
             if (!j.isGang && j.spec.lendable) ahead += n
             result += Demand(j.spec, n, pressing(j, if (endsPerS > 0.0) ahead / endsPerS else Double.MAX_VALUE))
         }
-        return result + FleetRules.spares(rates(), ::lead, hub.operator.spareFactor, hub.operator.arraySpareFactor)
+        return FleetRules.together(result) + FleetRules.spares(rates(), ::lead, hub.operator.spareFactor, hub.operator.arraySpareFactor)
     }
 
     /** How many places a job's waiting tasks are worth: fewer than there are tasks, where one serves many in turn. */
--- a/src/main/kotlin/flaxfield/fleet/FleetRules.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetRules.kt
@@ -115,6 +115,31 @@
     /** Boots take up to half as long again, and images fetched at once share the rate. */
     private const val LEAD_MARGIN = 1.5
 
+    /**
+     * Small demands of one kind taken as one, each task as large as the largest: a swarm's thousand jobs, packed one by one
+     * into hundreds of machines, took the leader's whole share.
+     */
+    fun together(demands: List<Demand>): List<Demand> {
+        val merged = LinkedHashMap<Any, Demand>()
+        for ((n, d) in demands.withIndex()) {
+            val s = d.spec
+            val small = d.tasks <= SMALL_TASKS && s.shape == Shape.ARRAY && !s.samePlace && !s.scatter
+            val kind: Any = if (small) listOf(s.jobClass, s.owner, s.flavors, s.site, s.lendable, d.pressing) else n
+            val before = merged[kind]
+            merged[kind] = if (before == null) d else before.and(d)
+        }
+        return merged.values.toList()
+    }
+
+    private fun Demand.and(d: Demand): Demand {
+        val a = spec.need
+        val b = d.spec.need
+        val need = Room(maxOf(a.cpus, b.cpus), maxOf(a.gpus, b.gpus), maxOf(a.ram, b.ram))
+        return copy(spec = spec.copy(need = need), tasks = tasks + d.tasks)
+    }
+
+    private const val SMALL_TASKS = 4
+
     /** No demand takes less than this. */
     private fun least(demands: List<Demand>) = Room(
         demands.minOfOrNull { it.spec.need.cpus } ?: 0.0,
--- a/src/main/kotlin/flaxfield/gangs/GangDesk.kt
+++ b/src/main/kotlin/flaxfield/gangs/GangDesk.kt
@@ -55,6 +55,8 @@
         val guaranteed = hub.guaranteed()
         for ((id, machines) in claims) claimed(id, machines, use, term)
         claiming.values.removeIf { hosts -> hosts.none { hub.isBusy(Keys.HOST + it) } }
+        // Without a change left for claims, a hundred gangs were gone through at each turn in vain.
+        if (!hub.maySpend(Cause.GANG, 1)) return
         val waiting = gangs.filter {
             it.placedCount == 0 &&
                 !it.complete &&
@@ -251,7 +253,7 @@
     private fun claimed(id: String, machines: List<Machine>, use: TeamUse, term: ULong) {
         if (machines.any { hub.isBusy(Keys.HOST + it.name) } || hub.isBusy(Keys.JOB + id)) return
         val job = hub.world.jobs[id]
-        if (job == null) return
+        if (job == null || !hub.maySpend(Cause.GANG, 1)) return
         val since = claimedSince.getOrPut(id) { hub.nowNs }
         val seats = machines.mapNotNull { m ->
             hub.world.hostRoom(m.name)?.takeIf { it.state == HostState.OK && m.phase == MachinePhase.UP }?.let { seat(m, it) }
--- a/src/main/kotlin/flaxfield/jobs/Settlement.kt
+++ b/src/main/kotlin/flaxfield/jobs/Settlement.kt
@@ -44,6 +44,7 @@
             // Not even what is most urgent may be written: the rest waits as well.
             if (!hub.maySpend(Cause.FINISH, 1)) break
             val cause = when {
+                hurry && small(job) -> Cause.CLOSE
                 hurry -> Cause.FINISH
                 events.size >= FEW -> Cause.PROOF
                 else -> Cause.TRICKLE
@@ -60,6 +61,8 @@
         events.size >= job.placedCount ||
         events.size >= job.allPlaced().count { mine(it.host) }
 
+    private fun small(job: Job) = !job.isGang && !job.cancelled && job.spec.shards < FEW && job.spec.urgency == Urgency.IDLE
+
     private fun mine(host: String) = hub.world.machines[host]?.let { hub.owns(it) } ?: true
 
     /** Ends of an array's tasks gather for a while, unless changes are plenty: several of them are one write. */
@@ -91,9 +94,9 @@
     /** Jobs that are over but still in the live keys: a cancel met the last exit on its way, for example. */
     private fun sweep() {
         for (job in hub.world.jobs.values) {
-            if (hub.isBusy(Keys.JOB + job.id)) continue
             val over = job.complete || (job.cancelled && job.placedCount == 0)
-            if (over && !hub.commit(Cause.FINISH, over(hub, job, aborted = job.cancelled, fenced = true))) return
+            if (!over || hub.isBusy(Keys.JOB + job.id)) continue
+            if (!hub.commit(Cause.FINISH, over(hub, job, aborted = job.cancelled, fenced = true))) return
         }
         val strays = hub.world.strayChunks.keys.filter { !hub.isBusy(Keys.PART + it) }
         if (strays.isNotEmpty()) {
--- a/src/main/kotlin/flaxfield/node/Controller.kt
+++ b/src/main/kotlin/flaxfield/node/Controller.kt
@@ -23,6 +23,8 @@
 import flaxfield.store.StoreClient
 import flaxfield.store.World
 import flaxfield.workers.DirectOrders
+import flaxfield.workers.HostWatch
+import flaxfield.workers.StopDesk
 import flaxfield.workers.WorkerDesk
 import org.slf4j.LoggerFactory
 
@@ -70,14 +72,16 @@
     private val metrics = Metrics()
     private val peers = PeerDesk(hub, outside.peer)
     private val settlement = Settlement(hub)
-    private val workers = WorkerDesk(hub, settlement, peers, DirectOrders(DIRECT_TIMEOUT_MS, mostDirect, outside.worker))
+    private val hosts = HostWatch(hub)
+    private val stops = StopDesk(hub, hosts, DirectOrders(DIRECT_TIMEOUT_MS, mostDirect, outside.worker))
+    private val workers = WorkerDesk(hub, settlement, peers, hosts, stops)
     private val members = MemberDesk(hub)
     private val gangs = GangDesk(hub)
-    private val arrays = ArrayDesk(hub, workers)
+    private val arrays = ArrayDesk(hub, hosts, stops)
     private val jobs = JobDesk(hub, arrays::begin)
     private val fleet = FleetDesk(hub, CloudClient(outside.cloud, CLOUD_TIMEOUT_MS), settlement)
     private val stalls = StallDesk(hub, settlement)
-    private val follower = Follower(hub, jobs, workers)
+    private val follower = Follower(hub, jobs, hosts)
 
     private var lastNs = 0L
     private var nextTickNs = 0L
@@ -132,7 +136,7 @@
         lastNs = now
         if (first || gap < settings.workers.leaseS * STANDSTILL_SHARE * NS_PER_S) return
         log.info("stood still for {} ms: silence is counted without it", gap / NS_PER_MS)
-        workers.stoodStill(gap)
+        hosts.stoodStill(gap)
     }
 
     private fun route(r: Request) {
@@ -181,7 +185,7 @@
         safely { hub.shareBudget() }
         duty("members") { members.tick() }
         duty("follower") { follower.tick() }
-        duty("workers") { workers.tick() }
+        duty("workers") { stops.tick() }
         duty("jobs") { jobs.tick() }
         duty("peers") { peers.tick() }
         duty("stalls") { stalls.tick() }
@@ -196,12 +200,12 @@
     private fun decide() {
         hub.awake()
         hub.caughtUp()
-        safely { workers.noteTerm() }
+        safely { hosts.noteTerm() }
         duty("reserved") { hub.noteReserved() }
         duty("settlement") { settlement.run() }
         duty("gangs") { gangs.run() }
         duty("arrays") { arrays.run() }
-        duty("halts") { workers.haltNow() }
+        duty("halts") { stops.haltNow() }
     }
 
     private inline fun duty(name: String, block: () -> Unit) {
--- a/src/main/kotlin/flaxfield/node/Follower.kt
+++ b/src/main/kotlin/flaxfield/node/Follower.kt
@@ -4,11 +4,11 @@
 import flaxfield.store.Cause
 import flaxfield.store.Keys
 import flaxfield.store.Watched
-import flaxfield.workers.WorkerDesk
+import flaxfield.workers.HostWatch
 import org.slf4j.LoggerFactory
 
 /** Keeps the view: a paged read first, then one watch after another over the same prefix. */
-class Follower(private val hub: Hub, private val jobs: JobDesk, private val workers: WorkerDesk) {
+class Follower(private val hub: Hub, private val jobs: JobDesk, private val hosts: HostWatch) {
     /** The view has been complete at least once. */
     var synced = false
         private set
@@ -83,7 +83,7 @@
                 hub.stateOk()
                 for (i in w.items) {
                     hub.world.apply(i)
-                    if (i.value == null && i.key.startsWith(Keys.HOST)) workers.forget(i.key.removePrefix(Keys.HOST))
+                    if (i.value == null && i.key.startsWith(Keys.HOST)) hosts.forget(i.key.removePrefix(Keys.HOST))
                 }
                 moved(w.ledger)
                 tick()
--- a/src/main/kotlin/flaxfield/peers/PeerDesk.kt
+++ b/src/main/kotlin/flaxfield/peers/PeerDesk.kt
@@ -11,6 +11,7 @@
         p.name to connect(p.address) { m -> hub.post { answered(m) } }
     }
     private val pending = LinkedHashMap<Long, Pending>()
+    private val mostPending = (hub.operator.queueCommands * PENDING_SHARE).toInt()
     private var nextId = 1L
     private var nextPulseNs = 0L
 
@@ -20,7 +21,7 @@
     /** Hands a report to the machine's owner; [done] gets its answer, or null if there is none in time. */
     fun relay(owner: String?, report: ByteArray, done: (Int, ByteArray?) -> Unit) {
         val client = clients[owner]
-        if (client == null || pending.size >= MOST_PENDING) return done(0, null)
+        if (client == null || pending.size >= mostPending) return done(0, null)
         val id = nextId++
         pending[id] = Pending(hub.nowNs, done)
         client.send(PeerMessage.Relay(hub.me.name, id, report))
@@ -58,7 +59,8 @@
     }
 
     private companion object {
-        const val MOST_PENDING = 128
+        /** Reports on their way to their owner take at most this share of its queue's places. */
+        const val PENDING_SHARE = 0.25
 
         /** Workers drop an answer after 4 s; the rest is for the way back and a slow turn. */
         const val RELAY_MS = 1_500L
--- a/src/main/kotlin/flaxfield/store/Budget.kt
+++ b/src/main/kotlin/flaxfield/store/Budget.kt
@@ -13,13 +13,18 @@
     CANCEL(-0.5),
     FINISH(0.0),
 
+    /** Few changes, for what is most urgent: behind the ends of a swarm's jobs, gangs waited for minutes. */
+    GANG(-0.1),
+
     /** Users wait for it: it may go a little into the next moment's part. */
     SUBMIT(-0.3),
-    GANG(0.1),
     FLEET(0.15, upkeep = true),
     ARRAY(0.2),
     ROOM(0.25, upkeep = true),
 
+    /** Ends of small idle jobs: two changes for one task, the least that a change is worth. */
+    CLOSE(0.22),
+
     /** Ends of an array's tasks: they may gather, so that one write tells several. */
     PROOF(0.25),
     READ(0.3),
--- /dev/null
+++ b/src/main/kotlin/flaxfield/workers/HostWatch.kt
@@ -0,0 +1,176 @@
+package flaxfield.workers
+
+import flaxfield.arrays.HostState
+import flaxfield.jobs.Job
+import flaxfield.jobs.TaskEvent
+import flaxfield.node.Hub
+import org.slf4j.LoggerFactory
+
+/** What this process has seen of machines, and how those of its part stand: silent, faulty, deaf, or well. */
+class HostWatch(private val hub: Hub) {
+    private val books = HashMap<String, HostBook>()
+
+    /**
+     * Hosts whose keys have been dropped, and when: names are never used again, so late news of them is ignored. Kept
+     * for as long as copies may come, not by a count: after a mass loss hundreds go within seconds.
+     */
+    private val gone = LinkedHashMap<String, Long>()
+    private var termSeen: ULong? = null
+
+    /** Since when we own our part under the present term. */
+    var ownerSinceNs = 0L
+        private set
+
+    /** When a machine of each zone last reported to us. */
+    private val heardNs = HashMap<String, Long>()
+
+    /** A report under our term has come: a sign of life of the machine, and of its zone. */
+    fun alive(book: HostBook, site: String) {
+        book.reportNs = hub.nowNs
+        heardNs[site] = book.reportNs
+    }
+
+    fun isGone(host: String): Boolean = host in gone
+
+    /** Notes what a task's end says of its machine. */
+    fun blame(e: TaskEvent, book: HostBook) {
+        if (e is TaskEvent.Done && !book.failures.none) book.failures = Failures()
+        if (e !is TaskEvent.Left || !e.failed) return
+        if (book.failures.none) log.info("host={} job={} task={} failed: machine or job, its next try tells", e.host, e.job, e.index)
+        book.failures = book.failures.failed(e.job, hub.nowNs)
+        hub.dirty = true
+    }
+
+    /** Whether the failures on a machine are its own. */
+    private fun blamed(book: HostBook): Blame {
+        if (book.failures.none) return Blame.NONE
+        val blame = book.failures.blame(book.host, hub.nowNs) { id ->
+            hub.world.jobs[id]?.takeIf { !it.cancelled }?.let { Failures.Trial(it.errorHosts, trialNs(it, book)) }
+        }
+        if (blame == Blame.NONE) book.failures = Failures()
+        if (blame == Blame.FAULTY) {
+            book.faulty = "tasks fail here and not elsewhere"
+            log.info("host={} taken as faulty: {}", book.host, book.faulty)
+            hub.dirty = true
+        }
+        return blame
+    }
+
+    /** How long a job's next try may take to fail as well: its launch, its image, and some more. */
+    private fun trialNs(job: Job, book: HostBook): Long {
+        val rate = hub.world.flavors[book.report?.flavor]?.fetchGbPerS ?: 1.0
+        return ((hub.settings.workers.leaseS + job.spec.pullGb / rate * TRIAL_FETCHES) * NS).toLong()
+    }
+
+    /** It gets no new work and is returned; its tasks move on the usual proofs. */
+    fun deaf(book: HostBook) {
+        if (book.faulty != null) return
+        val heard = books.values.filter { it.reportNs > ownerSinceNs }
+        if (heard.count { it.hearing.missed > 0 } > maxOf(1.0, heard.size * Hearing.MOST_DEAF)) return
+        book.faulty = "reports, and does not hear our answers"
+        log.info("host={} taken as faulty: {}", book.host, book.faulty)
+        hub.dirty = true
+    }
+
+    /** How a machine that we own stands. */
+    fun state(host: String): HostState {
+        val book = books[host]
+        val report = book?.report
+        return when {
+            book?.faulty != null -> HostState.FAULTY
+            report == null || book.reportNs == 0L || book.reportNs < ownerSinceNs -> {
+                // A machine that just came up has told us of itself, but not yet under our term.
+                val since = maxOf(ownerSinceNs, book?.firstNs ?: 0L)
+                if (silent(host, since) && expected(host)) HostState.SILENT else HostState.UNSEEN
+            }
+            silent(host, book.reportNs) -> HostState.SILENT
+            report.warningS != null -> HostState.NOTICE
+            blamed(book) == Blame.FAULTY -> HostState.FAULTY
+            blamed(book) == Blame.SUSPECT -> HostState.SUSPECT
+            else -> HostState.OK
+        }
+    }
+
+    /** It has reported before, to us or to an earlier owner, or carries tasks: its silence means something. */
+    private fun expected(host: String): Boolean = books[host]?.report != null ||
+        !hub.world.isEmpty(host) ||
+        hub.world.lastRoom(host)?.let { it.tenure > 0uL } ?: false
+
+    private fun silent(host: String, sinceNs: Long): Boolean {
+        val lease = hub.settings.workers.leaseS * NS
+        val quiet = hub.nowNs - sinceNs
+        if (quiet < lease * SILENT_SHARE) return false
+        // If nobody of its zone reports, it is rather us who are cut off from there; but the last machines of a part
+        // may be lost together, and their tasks must not wait for ever.
+        val site = hub.world.machines[host]?.site ?: books[host]?.report?.site.orEmpty()
+        val heard = hub.nowNs - (heardNs[site] ?: 0L) < hub.settings.workers.reportS * HEARD_REPORTS * NS
+        return heard || quiet > lease * SILENT_ALONE_SHARE
+    }
+
+    /** What we know of a machine that we have heard of, or null. */
+    fun known(host: String): HostBook? = books[host]
+
+    /**
+     * What we know of a machine; at first what its earlier owners' summaries knew. Without that, a takeover
+     * forgot which images machines hold, and gangs waited for fetches that others would have been spared.
+     */
+    fun book(host: String): HostBook = books.getOrPut(host) {
+        HostBook(host).also { b ->
+            hub.world.lastRoom(host)?.let(b::inherit)
+        }
+    }
+
+    /**
+     * Must run before any decision under a new term: a machine's silence counts from when we became its
+     * owner. Counted from an earlier time, a takeover returned every machine it took over.
+     */
+    fun noteTerm() {
+        val term = hub.term()
+        if (term == termSeen) return
+        termSeen = term
+        ownerSinceNs = hub.nowNs
+        for (b in books.values) b.pushedNs = 0
+    }
+
+    /** We stood still for [gapNs]: reports and answers of that time were lost on our side, not on the workers'. */
+    fun stoodStill(gapNs: Long) {
+        if (ownerSinceNs != 0L) ownerSinceNs += gapNs
+        for (b in books.values) {
+            if (b.reportNs != 0L) b.reportNs += gapNs
+            b.hearing = Hearing()
+        }
+        heardNs.replaceAll { _, at -> at + gapNs }
+    }
+
+    /** Forgets machines whose keys were dropped. */
+    fun forget(host: String) {
+        books.remove(host)
+        gone[host] = hub.nowNs
+        val before = hub.nowNs - (hub.settings.workers.leaseS * GONE_LEASES * NS).toLong()
+        while (gone.isNotEmpty()) {
+            val eldest = gone.entries.first()
+            if (eldest.value >= before) break
+            gone.remove(eldest.key)
+        }
+    }
+
+    private companion object {
+        val log = LoggerFactory.getLogger("flaxfield.workers")
+        const val NS = 1e9
+
+        /** A worker silent for this share of its lease is taken as lost: its machine is returned. */
+        const val SILENT_SHARE = 0.75
+
+        /** The same where no machine of its zone is heard at all: most cuts between zones are over by then. */
+        const val SILENT_ALONE_SHARE = 3.0
+
+        /** Others of the zone must have been heard within this many report intervals for a silence to count. */
+        const val HEARD_REPORTS = 2.0
+
+        /** Images fetched at once share the rate. */
+        const val TRIAL_FETCHES = 1.5
+
+        /** Copies of reports come late, at times by well over a lease. */
+        const val GONE_LEASES = 8.0
+    }
+}
--- a/src/test/kotlin/flaxfield/arrays/PlacementTest.kt
+++ b/src/test/kotlin/flaxfield/arrays/PlacementTest.kt
@@ -27,6 +27,22 @@
         assertEquals(20, ShortTasks.rented(spec(100, 60.0), pending = 20, placed = 80, readyS = 40.0, reportS = 3.0))
     }
 
+    @Test
+    fun `much smaller tasks do not fill the room that a job before them waits for`() {
+        val big = Samples.spec(need = Room(5.0, 1.0, 18.0))
+        val tiny = Samples.spec(id = "job-2", need = Room(0.25, 0.0, 1.0))
+        val alike = Samples.spec(id = "job-3", need = Room(4.0, 1.0, 16.0))
+        val seats = listOf("h1" to 2.0, "h2" to 4.0, "h3" to 1.0).map { (h, cpus) -> Samples.seat(h, Room(cpus, 1.0, 64.0)) }
+        val held = HeldSeats { Room(16.0, 4.0, 64.0) }
+        held.hold(big, tasks = 4, seats) { it.machine.name != "h2" }
+        // A machine holds three of its tasks: two are kept, of those that suit it.
+        assertEquals(listOf(false, true, false), seats.map { held.offered(tiny, it) })
+        assertEquals(listOf(true, true, true), seats.map { held.offered(alike, it) })
+        val few = HeldSeats { Room(16.0, 4.0, 64.0) }
+        few.hold(big, tasks = 1, seats) { true }
+        assertEquals(listOf(true, false, true), seats.map { few.offered(tiny, it) })
+    }
+
     @Test
     fun `one write takes so many tasks, machines and chunks, and a machine so many records`() {
         val spec = Samples.spec(shards = 24, need = Room(1.0, 0.0, 1.0))
--- a/src/test/kotlin/flaxfield/fleet/FleetRulesTest.kt
+++ b/src/test/kotlin/flaxfield/fleet/FleetRulesTest.kt
@@ -88,6 +88,16 @@
         for ((age, begun, want) in table) assertEquals(want, FleetRules.pressesWithoutAim(age, begun), "$age s, begun $begun")
     }
 
+    @Test
+    fun `a swarm's demands are packed as one, others as they are`() {
+        fun small(n: Int, cpus: Double) = Demand(Samples.spec(id = "job-$n", shards = 1, need = Room(cpus, 0.0, 1.0)), 1)
+        val wide = Demand(Samples.spec(id = "job-8"), 9)
+        val bound = Demand(Samples.spec(id = "job-9", shards = 2, samePlace = true), 2)
+        val together = FleetRules.together(listOf(small(1, 0.2), wide, small(2, 0.3), bound, small(3, 0.1), small(4, 0.1).copy(pressing = true)))
+        assertEquals(listOf(3, 9, 2, 1), together.map { it.tasks })
+        assertEquals(Room(0.3, 0.0, 1.0), together.first().spec.need)
+    }
+
     @Test
     fun `room that is there or on its way is used first`() {
         val bins = { listOf(Bin("h1", "big", "a", false, one), Bin("h2", "big", "a", true, one * 2), Bin(null, "big", "b", true, one * 4)) }
--- a/src/test/kotlin/flaxfield/sim/SimulationTest.kt
+++ b/src/test/kotlin/flaxfield/sim/SimulationTest.kt
@@ -203,13 +203,15 @@
             http(i, method, path, body, 2_000, Wire(loop).apply { cut = zoneCut == zones[i] }, done)
 
         private fun http(i: Int, method: String, path: String, body: ByteArray, timeoutMs: Long, wire: Wire, done: (Answer?) -> Unit) {
+            val sentNs = loop.nowNs
             val line = wire.line({ true }) { m, p, b, answer ->
                 awake(i) {
                     var answers = 0
                     nodes[i]?.apply {
                         handle(
                             Command.Http(
-                                Request(m, p, "", b) { status, out, _ ->
+                                // What its sender has given up on is dropped, as when its connection has gone.
+                                Request(m, p, "", b, { loop.nowNs - sentNs < timeoutMs * SimLoop.MS }) { status, out, _ ->
                                     // On a kept connection a second answer would be taken for the next request's.
                                     if (++answers > 1) rules.broken += "$m $p answered $answers times, at ${loop.nowS}"
                                     answer(Answer(status, out.bytes))
