Work without an aim holds no dear machine that was rented for a burst

Ruled out: rentals for the guests themselves (none after 120 s), boots (1 never came up).

Changed: such work is not put on ordinary machines beside those that wait for gangs, unless it has not begun within two minutes or seems never to be done.

--- a/src/main/kotlin/flaxfield/arrays/ArrayDesk.kt
+++ b/src/main/kotlin/flaxfield/arrays/ArrayDesk.kt
@@ -1,5 +1,6 @@
 package flaxfield.arrays
 
+import flaxfield.fleet.FleetRules
 import flaxfield.fleet.Machine
 import flaxfield.fleet.MachinePhase
 import flaxfield.jobs.Job
@@ -162,6 +163,7 @@
     /** Our machines that take arrays now and have at least so much room, less what placements on their way have taken. */
     private fun seats(least: Room): List<Seat> {
         val w = hub.world
+        cheapKnown = w.machines.values.any { it.lendable }
         val seats = hub.mine().mapNotNull { m ->
             val free = w.free(m)?.takeIf { it.holds(least) } ?: return@mapNotNull null
             if (!open(m)) return@mapNotNull null
@@ -178,7 +180,20 @@
     private fun fit(job: Job, seats: List<Seat>): List<Seat> = seats.filter { it.free.holds(job.spec.need) && suits(job, it) }
 
     private fun suits(job: Job, s: Seat): Boolean = hub.reserved.fills(job.spec, s.machine.flavor, s.machine.lendable) &&
-        !(s.machine.flavor in spokenFor() && hub.reserved.guests(job.spec, s.machine.flavor, s.machine.lendable))
+        !(s.machine.flavor in spokenFor() && hub.reserved.guests(job.spec, s.machine.flavor, s.machine.lendable)) &&
+        (s.machine.lendable || !job.spec.lendable || mayHoldDear(job, s.machine.flavor))
+
+    /**
+     * Whether [job], which cheap machines would do for, may hold an ordinary one. Work of a class without an aim fills those
+     * that wait for gangs; on others it kept hundreds of dear machines that had been rented for a burst.
+     */
+    private fun mayHoldDear(job: Job, flavor: String): Boolean = !cheapKnown ||
+        hub.reserved.guests(job.spec, flavor, lendable = false) ||
+        hub.settings.objectives.any { it.jobClass == job.spec.jobClass } ||
+        FleetRules.pressesWithoutAim((hub.nowMs - job.submittedMs) / MS, begun = job.placedCount + job.doneCount > 0)
+
+    /** Whether there are cheap machines at all. */
+    private var cheapKnown = false
 
     /** A job as it is submitted, with its tasks placed, and the conditions of that. */
     class Begun(val job: Job, val conditions: Map<String, ULong>)
@@ -340,5 +355,6 @@
         /** How long a part lets the one before it go first with a job, in report intervals: a write and its news. */
         const val TURN_REPORTS = 0.06
         const val NS = 1e9
+        const val MS = 1000.0
     }
 }
--- a/src/main/kotlin/flaxfield/fleet/FleetDemand.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetDemand.kt
@@ -55,9 +55,9 @@
         val ageS = (hub.nowMs - j.submittedMs) / MS
         val aims = hub.settings.objectives.filter { it.jobClass == j.spec.jobClass }
         if (FleetRules.pressesToStart(ageS, lead(j.spec), queueS, aims.filter { it.kind == "wait" }.map { it.withinS })) return true
-        if (aims.isEmpty()) return FleetRules.pressesWithoutAim(ageS, begun = j.placedCount + j.doneCount > 0)
-        val within = aims.maxOf { it.withinS }
         val cheap = hub.world.machines.values.any { it.lendable && ZoneRule.kindAllowed(j.spec, it.flavor, it.site, true) }
+        if (aims.isEmpty() && cheap) return FleetRules.pressesWithoutAim(ageS, begun = j.placedCount + j.doneCount > 0)
+        val within = aims.maxOfOrNull { it.withinS } ?: hub.settings.workers.cancelS
         return ageS > within * (if (cheap) PRESSING_SHARE else PRESSING_SHARE_ALONE)
     }
 
