--- a/src/main/kotlin/flaxfield/net/Http.kt
+++ b/src/main/kotlin/flaxfield/net/Http.kt
@@ -91,7 +91,7 @@
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(ch: SocketChannel) {
-                    ch.pipeline().addLast(HttpServerCodec(), HttpObjectAggregator(MAX_BODY), Handler())
+                    ch.pipeline().addLast(HttpServerCodec(Headers.decoder()), HttpObjectAggregator(MAX_BODY), Handler())
                 }
             })
             .bind(host, port).sync().channel()
@@ -139,6 +139,8 @@
             HttpVersion.HTTP_1_1,
             HttpResponseStatus.valueOf(status),
             Unpooled.wrappedBuffer(body.bytes),
+            Headers.unchecked,
+            Headers.unchecked,
         )
         response.headers()
             .set(HttpHeaderNames.CONTENT_TYPE, body.type)
--- a/src/main/kotlin/flaxfield/net/HttpClient.kt
+++ b/src/main/kotlin/flaxfield/net/HttpClient.kt
@@ -89,7 +89,7 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, call.timeoutMs.toInt().coerceAtMost(CONNECT_MS))
             .handler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(ch: SocketChannel) {
-                    ch.pipeline().addLast(HttpClientCodec(), HttpObjectAggregator(maxAnswer), Handler(line))
+                    ch.pipeline().addLast(HttpClientCodec(Headers.decoder(), false, false), HttpObjectAggregator(maxAnswer), Handler(line))
                 }
             })
             .connect(address.host, address.port)
@@ -110,7 +110,14 @@
         line.call = call
         call.line = line
         val content = if (call.body == null) Unpooled.EMPTY_BUFFER else Unpooled.wrappedBuffer(call.body)
-        val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(call.method), call.path, content)
+        val request = DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            HttpMethod.valueOf(call.method),
+            call.path,
+            content,
+            Headers.unchecked,
+            Headers.unchecked,
+        )
         request.headers().set(HttpHeaderNames.HOST, address.toString())
         if (call.body != null) {
             request.headers()
--- a/src/main/kotlin/flaxfield/store/Budget.kt
+++ b/src/main/kotlin/flaxfield/store/Budget.kt
@@ -22,13 +22,13 @@
     ARRAY(0.2),
     ROOM(0.25, upkeep = true),
 
-    /** Ends of small idle jobs: two changes for one task, the least that a change is worth. */
-    CLOSE(0.22),
-
     /** Ends of an array's tasks: they may gather, so that one write tells several. */
     PROOF(0.25),
     READ(0.3),
 
+    /** Ends of small idle jobs: two changes for one task, the least that a change is worth. */
+    CLOSE(0.3),
+
     /** Placements and ends of a few tasks only: when changes are scarce they wait until they are more. */
     TRICKLE(0.35),
 }
