--- a/src/main/kotlin/flaxfield/arrays/ArrayDesk.kt
+++ b/src/main/kotlin/flaxfield/arrays/ArrayDesk.kt
@@ -20,13 +20,10 @@
 import flaxfield.workers.StopDesk
 import org.slf4j.LoggerFactory
 
-/** This node's part: places arrays on its own machines, tells their room, and clears claimed machines. */
-class ArrayDesk(private val hub: Hub, private val hosts: HostWatch, private val stops: StopDesk) {
-    private var pages = 1
-    private var pagesTerm: ULong? = null
-    private val sent = HashMap<Int, RoomSummary>()
-    private var nextSummaryNs = 0L
-    private var nextImagesNs = 0L
+/** This node's part: places arrays on its own machines, after their room has been told and claimed ones cleared. */
+class ArrayDesk(private val hub: Hub, private val hosts: HostWatch, stops: StopDesk) {
+    private val summaries = SummaryDesk(hub, hosts)
+    private val clearing = ClearDesk(hub, stops)
 
     /** A placement of ours that the view does not show yet: the keys it changes, and the room that it takes. */
     private class Flying(val keys: List<String>, val taken: List<Pair<String, Room>>)
@@ -39,94 +36,16 @@
     fun run() {
         val term = hub.term() ?: return
         if (!hub.mayDecide()) return
-        summarise(term)
-        drain(term)
-        evict(term)
+        summaries.run(term)
+        clearing.run(term)
         place(term)
     }
 
-    private fun summarise(term: ULong) {
-        if (hub.nowNs < nextSummaryNs) return
-        nextSummaryNs = hub.nowNs + (hub.settings.workers.reportS * SUMMARY_REPORTS * NS).toLong()
-        if (term != pagesTerm) {
-            pagesTerm = term
-            sent.clear()
-        }
-        val mine = hub.mine()
-        pages = RoomPages.count(mine.size, hub.settings.stateLimits.valueKb, pages)
-        val dealt = Array(pages) { HashMap<String, HostRoom>() }
-        for (m in mine) dealt[RoomPages.page(m.name, pages)][m.name] = hosts.book(m.name).room(hosts.state(m.name))
-        // A machine that came up or fell silent is news at once; which images it holds may wait a little.
-        val withImages = hub.nowNs >= nextImagesNs
-        if (withImages) nextImagesNs = hub.nowNs + (hub.settings.workers.reportS * IMAGES_REPORTS * NS).toLong()
-        // The last page first: when pages split, rows appear in their new page before they leave the old one.
-        for (page in dealt.indices.reversed()) {
-            val now = RoomSummary(term, dealt[page])
-            val before = sent[page]
-            if (now == before || before != null && !withImages && sameStates(before, now)) continue
-            write(page, now, before == null || !sameStates(before, now))
-        }
-    }
-
-    private fun sameStates(a: RoomSummary, b: RoomSummary): Boolean = a.hosts.size == b.hosts.size &&
-        b.hosts.all { (name, room) -> a.hosts[name]?.let { it.state == room.state && it.tenure == room.tenure } ?: false }
-
-    private fun write(page: Int, now: RoomSummary, pressing: Boolean) {
-        val key = Keys.room(hub.me.name, page)
-        if (hub.isBusy(key)) return
-        val conditions = Settlement.fence(hub) + (key to hub.world.stamp(key))
-        val cause = if (pressing) Cause.FLEET else Cause.ROOM
-        val written = hub.commit(cause, Txn(conditions, listOf(Change.Put(key, RoomCodec.encode(now))))) {
-            if (it !is Outcome.Committed) sent.remove(page)
-        }
-        if (written) sent[page] = now
-    }
-
-    /** Machines that are no longer needed: what fills them goes on elsewhere. */
-    private fun drain(term: ULong) {
-        for (m in hub.mine()) {
-            if (m.phase != MachinePhase.DRAINING) continue
-            val on = hub.world.on(m.name).filter { !it.placed.stopping && !it.job.isGang }
-            for ((id, list) in on.groupBy { it.job.id }) {
-                stops.stop(id, list.map { it.placed.index }, term, "${m.name} is to be returned")
-            }
-        }
-    }
-
-    /** Where the leader claims a machine for a more urgent gang, tasks make way as far as the rules allow. */
-    private fun evict(term: ULong) {
-        val claimed = hub.world.claimed.mapNotNull { hub.world.machines[it] }
-            .filter { hub.owns(it) && hub.world.claimOn(it)?.evict ?: false }
-        if (claimed.isEmpty()) return
-        val use = hub.use()
-        val guaranteed = hub.guaranteed()
-        for (m in claimed) {
-            val claim = m.claim ?: continue
-            val gang = hub.world.jobs[claim.job] ?: continue
-            var free = hub.world.free(m) ?: continue
-            val want = gang.spec.need * claim.tasks
-            val on = hub.world.on(m.name)
-            for (r in on) if (r.placed.stopping || r.job.cancelled) free += r.job.spec.need
-            val victims = on.filter {
-                !it.placed.stopping && !it.job.isGang && JobOrder.mayPreempt(gang, gang.id in guaranteed, it.job, use)
-            }.sortedWith(compareBy({ it.job.spec.urgency }, { -it.job.submittedMs }))
-            val chosen = ArrayList<Pair<String, Int>>()
-            for (v in victims) {
-                if (free.holds(want)) break
-                free += v.job.spec.need
-                chosen += v.job.id to v.placed.index
-            }
-            for ((id, tasks) in chosen.groupBy({ it.first }, { it.second })) {
-                stops.stop(id, tasks, term, "room for ${gang.id} on ${m.name}")
-            }
-        }
-    }
-
     private fun place(term: ULong) {
+        flying.values.removeIf { f -> f.keys.none { hub.isBusy(it) } }
         // Asked before anything is looked at: while changes were scarce, sorting the waiting jobs each turn was in vain.
         if (!hub.maySpend(Cause.ARRAY, 1)) return
         val w = hub.world
-        flying.values.removeIf { f -> f.keys.none { hub.isBusy(it) } }
         val waiting = w.jobs.values.filter {
             !it.isGang &&
                 !it.cancelled &&
@@ -343,12 +262,6 @@
         /** What seems to be a mistake is tried with so many tasks at a time, not with all of an array again and again. */
         const val PROBES = 2
 
-        /** Summaries are written at most this often, in report intervals. */
-        const val SUMMARY_REPORTS = 0.4
-
-        /** Images alone are written at most this often. */
-        const val IMAGES_REPORTS = 1.5
-
         /** How often waiting gangs are counted against ordinary machines: a walk over all of these. */
         const val SPOKEN_REPORTS = 0.1
 
--- /dev/null
+++ b/src/main/kotlin/flaxfield/arrays/SummaryDesk.kt
@@ -0,0 +1,65 @@
+package flaxfield.arrays
+
+import flaxfield.jobs.Settlement
+import flaxfield.node.Hub
+import flaxfield.store.Cause
+import flaxfield.store.Change
+import flaxfield.store.Keys
+import flaxfield.store.Outcome
+import flaxfield.store.Txn
+import flaxfield.workers.HostWatch
+
+/** Tells the leader how the machines of this node's part stand. */
+class SummaryDesk(private val hub: Hub, private val hosts: HostWatch) {
+    private var pages = 1
+    private var pagesTerm: ULong? = null
+    private val sent = HashMap<Int, RoomSummary>()
+    private var nextSummaryNs = 0L
+    private var nextImagesNs = 0L
+
+    fun run(term: ULong) {
+        if (hub.nowNs < nextSummaryNs) return
+        nextSummaryNs = hub.nowNs + (hub.settings.workers.reportS * SUMMARY_REPORTS * NS).toLong()
+        if (term != pagesTerm) {
+            pagesTerm = term
+            sent.clear()
+        }
+        val mine = hub.mine()
+        pages = RoomPages.count(mine.size, hub.settings.stateLimits.valueKb, pages)
+        val dealt = Array(pages) { HashMap<String, HostRoom>() }
+        for (m in mine) dealt[RoomPages.page(m.name, pages)][m.name] = hosts.book(m.name).room(hosts.state(m.name))
+        // A machine that came up or fell silent is news at once; which images it holds may wait a little.
+        val withImages = hub.nowNs >= nextImagesNs
+        if (withImages) nextImagesNs = hub.nowNs + (hub.settings.workers.reportS * IMAGES_REPORTS * NS).toLong()
+        // The last page first: when pages split, rows appear in their new page before they leave the old one.
+        for (page in dealt.indices.reversed()) {
+            val now = RoomSummary(term, dealt[page])
+            val before = sent[page]
+            if (now == before || before != null && !withImages && sameStates(before, now)) continue
+            write(page, now, before == null || !sameStates(before, now))
+        }
+    }
+
+    private fun sameStates(a: RoomSummary, b: RoomSummary): Boolean = a.hosts.size == b.hosts.size &&
+        b.hosts.all { (name, room) -> a.hosts[name]?.let { it.state == room.state && it.tenure == room.tenure } ?: false }
+
+    private fun write(page: Int, now: RoomSummary, pressing: Boolean) {
+        val key = Keys.room(hub.me.name, page)
+        if (hub.isBusy(key)) return
+        val conditions = Settlement.fence(hub) + (key to hub.world.stamp(key))
+        val cause = if (pressing) Cause.FLEET else Cause.ROOM
+        val written = hub.commit(cause, Txn(conditions, listOf(Change.Put(key, RoomCodec.encode(now))))) {
+            if (it !is Outcome.Committed) sent.remove(page)
+        }
+        if (written) sent[page] = now
+    }
+
+    private companion object {
+        /** Summaries are written at most this often, in report intervals. */
+        const val SUMMARY_REPORTS = 0.4
+
+        /** Images alone are written at most this often. */
+        const val IMAGES_REPORTS = 1.5
+        const val NS = 1e9
+    }
+}
