--- a/src/main/kotlin/flaxfield/store/Budget.kt
+++ b/src/main/kotlin/flaxfield/store/Budget.kt
@@ -16,8 +16,8 @@
     /** Few changes, for what is most urgent: behind the ends of a swarm's jobs, gangs waited for minutes. */
     GANG(-0.1),
 
-    /** Users wait for it: it may go a little into the next moment's part. */
-    SUBMIT(-0.3),
+    /** Users wait for it, and each costs one change: it may go into the next moment's part, further than gangs. */
+    SUBMIT(-0.6),
     FLEET(0.15, upkeep = true),
     ARRAY(0.2),
     ROOM(0.25, upkeep = true),
