--- a/src/main/kotlin/flaxfield/store/Budget.kt
+++ b/src/main/kotlin/flaxfield/store/Budget.kt
@@ -10,7 +10,7 @@
     val upkeep: Boolean = false,
 ) {
     LEASE(-1.0),
-    CANCEL(-0.5),
+    CANCEL(-0.9),
     FINISH(0.0),
 
     /** Few changes, for what is most urgent: behind the ends of a swarm's jobs, gangs waited for minutes. */
