--- a/src/test/kotlin/flaxfield/Samples.kt
+++ b/src/test/kotlin/flaxfield/Samples.kt
@@ -10,7 +10,11 @@
 import flaxfield.jobs.Room
 import flaxfield.jobs.Shape
 import flaxfield.jobs.Urgency
+import flaxfield.settings.Address
+import flaxfield.settings.Settings
+import flaxfield.settings.StateLimits
 import flaxfield.settings.Team
+import flaxfield.settings.WorkerTimes
 
 /** Small builders shared by the tables. */
 object Samples {
@@ -52,5 +56,14 @@
     fun flavor(label: String, room: Room, rate: Double, low: Double, sites: List<String> = listOf("a", "b")) =
         Flavor(label, room, 100.0, 1.0, rate, low, 30.0, sites)
 
+    /** A controller on its own, with a lease of 6 s for its workers. */
+    fun settings(): Settings {
+        val address = Address("10.0.0.1", 1)
+        return Settings(
+            "n-0", "a", address, address, emptyList(), address, address, 1, emptyMap(), emptyList(),
+            WorkerTimes(1.0, 6.0, 10.0, 3.0, 20.0), StateLimits(150.0, 60.0, 4.0, 24), 2.0, 3.0, 1000, zones = 1,
+        )
+    }
+
     fun team(name: String, gpus: Double = 0.0, gpusMax: Double = 0.0) = Team(name, 0.0, 0.0, gpus, gpusMax)
 }
--- /dev/null
+++ b/src/test/kotlin/flaxfield/jobs/OverDeskTest.kt
@@ -0,0 +1,91 @@
+package flaxfield.jobs
+
+import flaxfield.Samples
+import flaxfield.codec.Wire
+import flaxfield.members.Member
+import flaxfield.net.Answer
+import flaxfield.net.Calls
+import flaxfield.node.Clock
+import flaxfield.node.Hub
+import flaxfield.settings.OperatorSettings
+import flaxfield.store.Keys
+import flaxfield.store.StoreClient
+import flaxfield.store.World
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** Each poll for an id that nobody submitted was a read of its own: a flood of them used up the node's requests. */
+class OverDeskTest {
+    private var nowMs = 10_000L
+    private val clock = object : Clock {
+        override fun steadyNs() = nowMs * 1_000_000
+
+        override fun dayMs() = nowMs
+    }
+    private val asked = ArrayList<String>()
+    private val open = ArrayDeque<() -> Unit>()
+    private var serves = true
+
+    /** A state service that knows one finished job, and answers when [open] is run. */
+    private val state = Calls { _, path, body, _, done ->
+        asked += path
+        open += {
+            val answer = when {
+                !serves -> null
+                path == "/txn" -> {
+                    val there = Wire.decode(body ?: ByteArray(0)).objs("when").map { it.needText("k") }.filter { it == Keys.OVER + "job-7" }
+                    Answer(if (there.isEmpty()) 200 else 409, Wire.encode(mapOf("failed" to there, "ledger" to 5)))
+                }
+                else -> Answer(200, Wire.encode(mapOf("value" to JobCodec.encodeFinished(Finished("job-7", aborted = false, done = 3)))))
+            }
+            done(answer)
+        }
+    }
+    private val hub = Hub(Samples.settings(), OperatorSettings(), Member("n-0", "r", "a"), clock, StoreClient(state, state, 1), World()) { it() }
+    private val kept = ArrayList<String>()
+    private val desk = OverDesk(hub) { kept += it.id }
+
+    private fun answerAll() {
+        while (true) (open.removeFirstOrNull() ?: return)()
+    }
+
+    private fun ask(vararg ids: String): List<String> {
+        val got = ArrayList<String>()
+        for (id in ids) desk.ask(id) { got += "$id ${it.javaClass.simpleName}" }
+        return got
+    }
+
+    @Test
+    fun `many are looked up by one comparison, and only what exists is read`() {
+        val got = ask("job-1", "job-2", "job-7", "job-2")
+        answerAll()
+        nowMs += 100
+        desk.run()
+        answerAll()
+        assertEquals(listOf("job-1 Absent", "job-2 Absent", "job-2 Absent", "job-7 Known").sorted(), got.sorted())
+        // The first went alone, all that came meanwhile together.
+        assertEquals(listOf("/txn", "/txn", "/keys/" + Keys.OVER + "job-7"), asked)
+        assertEquals(listOf("job-7"), kept)
+    }
+
+    @Test
+    fun `each asker gets one answer, in time, and the askers are bounded`() {
+        val got = ask("job-1")
+        nowMs += 1_300
+        desk.run()
+        assertEquals(listOf("job-1 Unclear"), got)
+        answerAll()
+        assertEquals(1, got.size)
+        serves = false
+        val flood = ask(*(0 until 300).map { "job-9$it" }.toTypedArray())
+        assertEquals(44, flood.size)
+        assertTrue(flood.all { it.endsWith("Unclear") })
+        repeat(20) {
+            answerAll()
+            nowMs += 100
+            desk.run()
+        }
+        assertEquals(300, flood.size)
+    }
+}
--- a/src/test/kotlin/flaxfield/workers/HostWatchTest.kt
+++ b/src/test/kotlin/flaxfield/workers/HostWatchTest.kt
@@ -11,11 +11,7 @@
 import flaxfield.net.Calls
 import flaxfield.node.Clock
 import flaxfield.node.Hub
-import flaxfield.settings.Address
 import flaxfield.settings.OperatorSettings
-import flaxfield.settings.Settings
-import flaxfield.settings.StateLimits
-import flaxfield.settings.WorkerTimes
 import flaxfield.store.Item
 import flaxfield.store.Keys
 import flaxfield.store.StoreClient
@@ -33,12 +29,7 @@
     private val me = Member("n-0", "run1", "a")
     private val world = World()
     private val silence = Calls { _, _, _, _, _ -> }
-    private val address = Address("10.0.0.1", 1)
-    private val settings = Settings(
-        "n-0", "a", address, address, emptyList(), address, address, 1, emptyMap(), emptyList(),
-        WorkerTimes(1.0, 6.0, 10.0, 3.0, 20.0), StateLimits(150.0, 60.0, 4.0, 24), 2.0, 3.0, 1000, zones = 1,
-    )
-    private val watch = HostWatch(Hub(settings, OperatorSettings(), me, clock, StoreClient(silence, silence, 1), world) { it() })
+    private val watch = HostWatch(Hub(Samples.settings(), OperatorSettings(), me, clock, StoreClient(silence, silence, 1), world) { it() })
 
     private fun put(key: String, value: Map<String, Any?>, stamp: ULong) = world.apply(Item(key, Wire.decode(Wire.encode(value)), stamp))
 
