--- a/src/main/kotlin/flaxfield/arrays/ArrayDesk.kt
+++ b/src/main/kotlin/flaxfield/arrays/ArrayDesk.kt
@@ -5,6 +5,7 @@
 import flaxfield.jobs.Job
 import flaxfield.jobs.Room
 import flaxfield.jobs.Settlement
+import flaxfield.jobs.Validation
 import flaxfield.node.Hub
 import flaxfield.quota.JobOrder
 import flaxfield.quota.TeamUse
@@ -13,6 +14,7 @@
 import flaxfield.store.Keys
 import flaxfield.store.Outcome
 import flaxfield.store.Txn
+import flaxfield.workers.Orders
 import flaxfield.workers.WorkerDesk
 import org.slf4j.LoggerFactory
 
@@ -24,8 +26,10 @@
     private var nextSummaryNs = 0L
     private var nextImagesNs = 0L
 
-    /** Room taken by placements of ours that the view does not show yet, by job. */
-    private val flying = HashMap<String, List<Pair<String, Room>>>()
+    /** A placement of ours that the view does not show yet: the keys it changes, and the room that it takes. */
+    private class Flying(val keys: List<String>, val taken: List<Pair<String, Room>>)
+
+    private val flying = HashMap<String, Flying>()
 
     /** When a job that waits was first seen to do so, by id. */
     private val waitingSinceNs = HashMap<String, Long>()
@@ -117,8 +121,14 @@
 
     private fun place(term: ULong) {
         val w = hub.world
+        flying.values.removeIf { f -> f.keys.none { hub.isBusy(it) } }
         val waiting = w.jobs.values.filter {
-            !it.isGang && !it.cancelled && it.pendingCount > 0 && it.retryAtMs <= hub.nowMs && !hub.isBusy(Keys.JOB + it.id)
+            !it.isGang &&
+                !it.cancelled &&
+                it.pendingCount > 0 &&
+                it.retryAtMs <= hub.nowMs &&
+                it.id !in flying &&
+                !hub.isBusy(Keys.JOB + it.id)
         }
         waitingSinceNs.keys.retainAll(waiting.mapTo(HashSet()) { it.id })
         if (waiting.isEmpty()) return
@@ -133,7 +143,8 @@
             if (!open(m)) return@mapNotNull null
             val book = workers.book(m.name)
             val report = book.report ?: return@mapNotNull null
-            Seat(m, report.tenure, free, book.images.keys, w.isEmpty(m.name))
+            val places = Orders.MOST_TASKS - w.tasksOn(m.name)
+            if (places <= 0) null else Seat(m, report.tenure, free, book.images.keys, w.isEmpty(m.name), places)
         }
         assumeFlying(seats)
         if (seats.isEmpty()) return
@@ -179,10 +190,15 @@
      * job was placed into the same room 60 ms later, only to be told `no_room` by the worker.
      */
     private fun assumeFlying(seats: List<Seat>) {
-        flying.keys.removeIf { !hub.isBusy(Keys.JOB + it) }
         if (flying.isEmpty()) return
         val byHost = seats.associateBy { it.machine.name }
-        for (placed in flying.values) for ((host, room) in placed) byHost[host]?.let { it.free -= room }
+        for (f in flying.values) {
+            for ((host, room) in f.taken) {
+                val seat = byHost[host] ?: continue
+                seat.free -= room
+                seat.places--
+            }
+        }
     }
 
     /**
@@ -213,8 +229,10 @@
         } else {
             emptyList()
         }
-        val most = minOf(use.allows(team.name, job.spec.need, hub.reserved.ofLimit(team.name)), MOST_PER_JOB)
-        val found = ArrayRound.place(job, seats, ZoneRule(job.spec, sites), offset(job), most)
+        val width = if (job.suspect) PROBES else ShortTasks.width(job.spec, readyS(job), hub.settings.workers.reportS)
+        val most = minOf(use.allows(team.name, job.spec.need, hub.reserved.ofLimit(team.name)), MOST_PER_JOB, width - job.placedCount)
+        val limits = ArrayRound.Limits(most, MOST_HOSTS, Settlement.chunksAtOnce(hub.settings.stateLimits))
+        val found = ArrayRound.place(job, seats, ZoneRule(job.spec, sites), offset(job), limits) { !hub.isBusy(Keys.chunk(job.id, it)) }
         if (found.isEmpty()) return
         use.add(team.name, job.spec.need * found.size)
         val cause = if (found.size >= minOf(Settlement.FEW, job.pendingCount)) Cause.ARRAY else Cause.TRICKLE
@@ -233,9 +251,13 @@
                 log.debug("job={} placement outcome={}", job.id, outcome)
             }
         }
-        if (sent) flying[job.id] = found.values.map { it.machine.name to job.spec.need }
+        if (sent) flying[job.id] = Flying(base.changes.map { it.key }, found.values.map { it.machine.name to job.spec.need })
     }
 
+    /** How soon a machine for [job] is up once it is rented. */
+    private fun readyS(job: Job): Double =
+        hub.world.flavors.values.filter { Validation.allowed(job.spec, it) }.minOfOrNull { it.readyS } ?: 0.0
+
     /** Whether a placement of [job] bumps its team's fence as well. */
     private fun fenced(job: Job) = hub.settings.teams[job.spec.owner]?.limited ?: false
 
@@ -250,7 +272,13 @@
         val log = LoggerFactory.getLogger("flaxfield.arrays")
 
         /** Bounded work per decision; the rest follows in the next one. */
-        const val MOST_PER_JOB = 64
+        const val MOST_PER_JOB = 256
+
+        /** Each machine is a condition of the write, and these may be four times as many as changes. */
+        const val MOST_HOSTS = 64
+
+        /** What seems to be a mistake is tried with so many tasks at a time, not with all of an array again and again. */
+        const val PROBES = 2
 
         /** Summaries are written at most this often, in report intervals. */
         const val SUMMARY_REPORTS = 0.4
--- a/src/main/kotlin/flaxfield/arrays/Placement.kt
+++ b/src/main/kotlin/flaxfield/arrays/Placement.kt
@@ -8,9 +8,17 @@
 import flaxfield.jobs.Validation
 
 /** A machine as a round sees it; [free] shrinks as the round assumes tasks on it. */
-class Seat(val machine: Machine, val tenure: ULong, var free: Room, val images: Collection<String>, val empty: Boolean) {
+class Seat(
+    val machine: Machine,
+    val tenure: ULong,
+    var free: Room,
+    val images: Collection<String>,
+    val empty: Boolean,
+    /** How many more tasks its reports can tell of. */
+    var places: Int = Int.MAX_VALUE,
+) {
     /** The same seat for a round whose assumptions are its own. */
-    fun copy() = Seat(machine, tenure, free, images, empty)
+    fun copy() = Seat(machine, tenure, free, images, empty, places)
 }
 
 /** Rules on where a task may go that depend on where the job's other tasks are now. */
@@ -61,7 +69,7 @@
         untilMs.values.removeIf { it < nowMs }
         for (j in jobs) if (j.isGang && (gangs[j.spec.owner]?.submittedMs ?: 0L) < j.submittedMs) gangs[j.spec.owner] = j
         gangs.values.removeIf { it.submittedMs < nowMs - keepMs }
-        val parked = jobs.filter { it.isGang && !it.cancelled && it.placedCount == 0 }
+        val parked = jobs.filter { it.isGang && !it.cancelled && it.placedCount == 0 && !it.suspect }
         waiting = parked.groupBy { it.spec.owner }
             .mapValues { (_, list) -> list.fold(Room.NONE) { sum, j -> sum + j.spec.need * j.spec.shards } }
         tasksWaiting = flavors.associate { f ->
@@ -95,28 +103,71 @@
     fun fills(spec: JobSpec, flavor: String, lendable: Boolean): Boolean = spec.saveEveryS > 0.0 || rents(spec, flavor, lendable)
 }
 
+/**
+ * Pure: how wide an array of tasks that are much shorter than a machine's boot is run. Each place serves many of them,
+ * one after another: started all at once, 25,000 tasks of 4 s took every machine's free room, and rented as many again,
+ * only to end together moments later.
+ */
+object ShortTasks {
+    /** How many tasks of [spec] may stand at once. */
+    fun width(spec: JobSpec, readyS: Double, reportS: Double): Int = width(spec, readyS, reportS, LEAST_WIDTH)
+
+    /** How many more places are worth renting for [pending] tasks, while [placed] others have theirs. */
+    fun rented(spec: JobSpec, pending: Int, placed: Int, readyS: Double, reportS: Double): Int =
+        minOf(pending, width(spec, readyS, reportS, LEAST_RENTED) - placed).coerceAtLeast(0)
+
+    private fun width(spec: JobSpec, readyS: Double, reportS: Double, least: Int): Int {
+        if (spec.expectS >= readyS * SHORT_SHARE) return Int.MAX_VALUE
+        // A place is taken for the run, and for about a report before and after it.
+        val share = (spec.expectS + reportS) / (readyS * HORIZON_BOOTS)
+        return maxOf(least, Math.ceil(spec.shards * share).toInt())
+    }
+
+    /** Tasks shorter than this share of a boot are short. */
+    private const val SHORT_SHARE = 0.5
+
+    /** An array of short tasks is to be through in so many boot times. */
+    private const val HORIZON_BOOTS = 3.0
+    private const val LEAST_WIDTH = 256
+    private const val LEAST_RENTED = 32
+}
+
 /** Pure: which of a part's machines take which tasks of an array. */
 object ArrayRound {
+    /** What one write holds: tasks, machines, and chunks of the job's records. */
+    data class Limits(val tasks: Int, val hosts: Int = Int.MAX_VALUE, val chunks: Int = Int.MAX_VALUE)
+
     /**
-     * Places up to [most] pending tasks of [job], starting with task [from], and shrinks the seats' room.
-     * Returns task numbers with their seats.
+     * Places pending tasks of [job], starting with task [from], within [limits] and in the chunks that are [open], and
+     * shrinks the seats' room. Returns task numbers with their seats.
      */
-    fun place(job: Job, seats: List<Seat>, rule: ZoneRule, from: Int, most: Int): Map<Int, Seat> {
-        if (most <= 0) return emptyMap()
+    fun place(
+        job: Job,
+        seats: List<Seat>,
+        rule: ZoneRule,
+        from: Int,
+        limits: Limits,
+        open: (Int) -> Boolean = { true },
+    ): Map<Int, Seat> {
+        if (limits.tasks <= 0) return emptyMap()
         val spec = job.spec
         val fit = seats.filter {
             ZoneRule.kindAllowed(spec, it.machine.flavor, it.machine.site, it.machine.lendable) &&
                 it.machine.name !in job.errorHosts &&
                 it.free.holds(spec.need)
-        }.sortedWith(order(spec))
+        }.sortedWith(order(spec)).take(limits.hosts)
         if (fit.isEmpty()) return emptyMap()
         val result = LinkedHashMap<Int, Seat>()
-        val tasks = job.pending(from).iterator()
+        val chunks = HashSet<Int>()
+        val tasks = job.pending(from) { n -> open(n) && (chunks.size < limits.chunks || n in chunks) }.iterator()
         for (seat in fit) {
-            while (result.size < most && seat.free.holds(spec.need) && rule.allows(seat.machine.site)) {
+            while (result.size < limits.tasks && seat.places > 0 && seat.free.holds(spec.need) && rule.allows(seat.machine.site)) {
                 if (!tasks.hasNext()) return result
-                result[tasks.next()] = seat
+                val task = tasks.next()
+                chunks += task / job.chunkTasks
+                result[task] = seat
                 seat.free -= spec.need
+                seat.places--
                 rule.add(seat.machine.site)
             }
         }
--- a/src/main/kotlin/flaxfield/arrays/RoomSummary.kt
+++ b/src/main/kotlin/flaxfield/arrays/RoomSummary.kt
@@ -16,6 +16,9 @@
 
     /** The cloud has said that it takes it back. */
     NOTICE,
+
+    /** A task failed on it, and it is not yet known whether the machine or the job is to blame. */
+    SUSPECT,
 }
 
 /** One machine in a part's summary. */
--- a/src/main/kotlin/flaxfield/fleet/FleetDemand.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetDemand.kt
@@ -1,5 +1,6 @@
 package flaxfield.fleet
 
+import flaxfield.arrays.ShortTasks
 import flaxfield.arrays.ZoneRule
 import flaxfield.jobs.Job
 import flaxfield.jobs.JobSpec
@@ -25,9 +26,12 @@
         // How fast tasks that fill cheap machines end: so fast the queue for them moves by itself.
         val endsPerS = w.jobs.values.filter { !it.isGang && it.spec.lendable }.sumOf { it.placedCount / maxOf(1.0, it.spec.expectS) }
         var ahead = 0
-        for (j in JobOrder.sort(waiting, guaranteed, use, JobOrder.lateMs(hub.nowMs))) {
+        val late = JobOrder.lateMs(hub.nowMs)
+        for (j in JobOrder.sort(waiting, guaranteed, use, late)) {
+            // What seems to be a mistake is tried on what is there: nothing is rented for it, for a long while.
+            if (j.comesLast(late)) continue
             val kept = if (j.isGang) Room.NONE else hub.reserved.ofLimit(j.spec.owner)
-            val n = minOf(j.pendingCount, use.allows(j.spec.owner, j.spec.need, kept))
+            val n = minOf(places(j), use.allows(j.spec.owner, j.spec.need, kept))
             if (n <= 0 || j.isGang && n < j.spec.shards) continue
             use.add(j.spec.owner, j.spec.need * n)
             if (!j.isGang && j.spec.lendable) ahead += n
@@ -36,6 +40,13 @@
         return result + FleetRules.spares(rates(), ::lead, hub.operator.spareFactor, hub.operator.arraySpareFactor)
     }
 
+    /** How many places a job's waiting tasks are worth: fewer than there are tasks, where one serves many in turn. */
+    private fun places(j: Job): Int {
+        if (j.isGang) return j.pendingCount
+        val readyS = hub.world.flavors.values.filter { Validation.allowed(j.spec, it) }.minOfOrNull { it.readyS } ?: 0.0
+        return ShortTasks.rented(j.spec, j.pendingCount, j.placedCount, readyS, hub.settings.workers.reportS)
+    }
+
     /**
      * Ordinary machines cost several times as much as cheap ones: a job that may use both gets them only
      * when it is long late, or soon when there are no cheap ones for it at all.
--- a/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
@@ -52,6 +52,7 @@
         returns.run()
         if (hub.nowNs >= nextPlanNs && hub.world.flavors.isNotEmpty()) {
             nextPlanNs = hub.nowNs + (hub.settings.workers.reportS * PLAN_REPORTS * NS).toLong()
+            noteUp()
             retire()
             rent()
         }
@@ -179,10 +180,7 @@
         return when {
             room.state == HostState.SILENT -> "silent"
             room.state == HostState.FAULTY -> "faulty"
-            room.state == HostState.UNSEEN &&
-                empty &&
-                settled() &&
-                hub.nowMs - m.sinceMs > flavor.readyS * BOOT_FACTOR * MS -> "never came up"
+            room.state == HostState.UNSEEN && empty && settled() && boot(m, flavor) == Boot.LOST -> "never came up"
             overdue != null -> "cancelled ${overdue.id} is still on it"
             else -> {
                 val idle = idleSinceNs[m.name]
@@ -197,6 +195,23 @@
         }
     }
 
+    /** How a machine that does not report stands; one that reported to an earlier owner is only being looked for. */
+    private fun boot(m: Machine, flavor: Flavor): Boot = if (cameUp(m)) {
+        Boot.COMING
+    } else {
+        Boot.of((hub.nowMs - m.sinceMs) / MS, flavor.readyS, (lastUpMs[m.flavor] ?: 0L) >= m.sinceMs)
+    }
+
+    private fun cameUp(m: Machine) = (hub.world.lastRoom(m.name)?.tenure ?: 0uL) > 0uL
+
+    /** When the latest rented of the machines that are up was rented, by type. */
+    private val lastUpMs = HashMap<String, Long>()
+
+    private fun noteUp() {
+        lastUpMs.clear()
+        for (m in hub.world.machines.values) if (cameUp(m)) lastUpMs.merge(m.flavor, m.sinceMs, ::maxOf)
+    }
+
     /**
      * Under a new term every machine is unseen until its worker has found its owner: counted from its
      * rental alone, each takeover returned the idle ones as never having come up.
@@ -212,6 +227,8 @@
             if (m.phase != MachinePhase.UP || w.claimOn(m) != null) continue
             val state = w.hostRoom(m.name)?.state ?: HostState.UNSEEN
             if (state != HostState.OK && state != HostState.UNSEEN) continue
+            // Room that keeps not coming is not waited for: what is needed is rented in its place, once.
+            if (state == HostState.UNSEEN && w.flavors[m.flavor]?.let { boot(m, it) != Boot.COMING } ?: false) continue
             bins += Bin(m.name, m.flavor, m.site, m.lendable, roomWithoutGuests(m) ?: continue)
         }
         for (h in w.hires.values) {
@@ -292,9 +309,6 @@
         /** PROTOCOL-flaxfield.md: at most so many machines a rental. */
         const val MOST_PER_HIRE = 50
 
-        /** "Some machines take several times as long": after this many boot times it never comes. */
-        const val BOOT_FACTOR = 3.2
-
         /** A cancelled task still there after this share of `cancel_s` costs its machine. */
         const val CANCEL_SHARE = 0.5
     }
--- a/src/main/kotlin/flaxfield/gangs/GangDesk.kt
+++ b/src/main/kotlin/flaxfield/gangs/GangDesk.kt
@@ -89,7 +89,7 @@
     /** What one run of the desk looks at, and what it has found out on the way. */
     private inner class Look(var seats: List<Seat>, val use: TeamUse, val guaranteed: Set<String>, val term: ULong) {
         val known = ShortRounds()
-        private val evictable = HashMap<Triple<Urgency, Boolean, String>, Map<String, Room>>()
+        private val evictable = HashMap<Rights, Map<String, Room>>()
         val busyWithGangs: List<Pair<Machine, HostRoom>> by lazy(LazyThreadSafetyMode.NONE) {
             val w = hub.world
             w.machines.values.filter { m -> m.phase == MachinePhase.UP && w.jobsOn(m.name).any { it.isGang } }
@@ -111,9 +111,9 @@
             seats = seats.filter { it.machine.name !in hosts }
         }
 
-        private fun rights(job: Job): Triple<Urgency, Boolean, String> {
+        private fun rights(job: Job): Rights {
             val within = job.id in guaranteed
-            return Triple(job.spec.urgency, within, if (within) job.spec.owner else "")
+            return Rights(job.spec.urgency, within, if (within) job.spec.owner else "", job.suspect)
         }
 
         private fun evictable(job: Job): Map<String, Room> {
@@ -136,6 +136,9 @@
         }
     }
 
+    /** What decides whose tasks a gang may take the place of. */
+    private data class Rights(val urgency: Urgency, val guaranteed: Boolean, val owner: String, val suspect: Boolean)
+
     /**
      * More room wakes the parked, counted in tasks like theirs: any task of an array that ended, anywhere, woke
      * them all before, and their rounds were the most that a leader spent its time on.
--- a/src/main/kotlin/flaxfield/gangs/Gathering.kt
+++ b/src/main/kotlin/flaxfield/gangs/Gathering.kt
@@ -12,7 +12,7 @@
  */
 object Gathering {
     /** The gang to gather for: the largest of those submitted before [lateMs], the oldest of these. */
-    fun next(waiting: Collection<Job>, lateMs: Long): Job? = waiting.filter { it.submittedMs < lateMs && it.spec.shards > 1 }
+    fun next(waiting: Collection<Job>, lateMs: Long): Job? = waiting.filter { it.submittedMs < lateMs && it.spec.shards > 1 && !it.suspect }
         .minWithOrNull(compareBy({ -it.spec.shards }, { it.submittedMs }, { it.id }))
 
     /**
--- a/src/main/kotlin/flaxfield/jobs/Job.kt
+++ b/src/main/kotlin/flaxfield/jobs/Job.kt
@@ -95,6 +95,15 @@
     val pendingCount: Int get() = spec.shards - doneCount - placedCount
     val isGang: Boolean get() = spec.shape == Shape.GANG
 
+    /**
+     * It failed on several machines, more often than it stands on others now, and no task of it has completed: most
+     * likely it was submitted with a mistake. It is tried on and on, at nobody else's cost.
+     */
+    val suspect: Boolean get() = errorHosts.size >= Settle.FAULTY_JOB_HOSTS && doneCount == 0 && placedCount < errors
+
+    /** Whether it comes after all others: it is [suspect], and has not been due in vain since before [lateMs]. */
+    fun comesLast(lateMs: Long): Boolean = suspect && retryAtMs >= lateMs
+
     fun chunk(index: Int): Chunk = chunks[index / chunkTasks] ?: Chunk.empty()
 
     fun placed(index: Int): Placed? = chunks[index / chunkTasks]?.placed?.get(index)
@@ -103,11 +112,27 @@
 
     fun allPlaced(): Sequence<Placed> = chunks.values.asSequence().flatMap { it.placed.values.asSequence() }
 
-    /** Indexes of tasks neither done nor placed, starting at [from] and wrapping round. */
-    fun pending(from: Int = 0): Sequence<Int> = sequence {
-        for (step in 0 until spec.shards) {
-            val i = (from + step) % spec.shards
-            if (!isDone(i) && placed(i) == null) yield(i)
+    /**
+     * Indexes of tasks neither done nor placed, starting at [from] and wrapping round, in the chunks that are [open].
+     * Chunk by chunk: with a look-up for each of 25,000 tasks, a placement cost more than all else in its turn.
+     */
+    fun pending(from: Int = 0, open: (Int) -> Boolean = { true }): Sequence<Int> =
+        pending(from, spec.shards, open) + pending(0, from, open)
+
+    private fun pending(from: Int, until: Int, open: (Int) -> Boolean): Sequence<Int> = sequence {
+        var i = from
+        while (i < until) {
+            val number = i / chunkTasks
+            val end = minOf(until, (number + 1) * chunkTasks)
+            if (open(number)) {
+                val chunk = chunks[number] ?: Chunk.empty()
+                var next = chunk.done.nextClearBit(i)
+                while (next < end) {
+                    if (next !in chunk.placed) yield(next)
+                    next = chunk.done.nextClearBit(next + 1)
+                }
+            }
+            i = end
         }
     }
 
@@ -135,12 +160,27 @@
         if (p == null) c else c.copy(placed = c.placed + (i to p.copy(stopping = true)))
     }
 
-    fun finish(indexes: Collection<Int>): Job = edit(indexes) { c, i ->
-        val done = c.done.clone() as BitSet
-        done.set(i)
-        c.copy(done = done, placed = c.placed - i)
+    /** Records tasks as completed, all those of a chunk in one step. */
+    fun finish(indexes: Collection<Int>): Job {
+        val next = HashMap(chunks)
+        for ((number, part) in indexes.groupBy { it / chunkTasks }) {
+            val c = next[number] ?: Chunk.empty()
+            val done = c.done.clone() as BitSet
+            for (i in part) done.set(i)
+            next[number] = c.copy(done = done, placed = c.placed - part.toSet())
+        }
+        return copy(chunks = next)
     }
 
+    /** Whether a change of one chunk must be told in the head's key as well, since other chunks' changes depend on it. */
+    val boundTogether: Boolean get() = isGang || spec.samePlace || spec.scatter
+
+    /** Whether the head's own fields are those of [other]: all that the head's key holds besides chunk 0. */
+    fun sameHead(other: Job): Boolean = cancelledMs == other.cancelledMs &&
+        errorHosts == other.errorHosts &&
+        errors == other.errors &&
+        retryAtMs == other.retryAtMs
+
     private fun edit(indexes: Collection<Int>, change: (Chunk, Int) -> Chunk): Job {
         val next = HashMap(chunks)
         for (i in indexes) {
--- a/src/main/kotlin/flaxfield/jobs/JobDesk.kt
+++ b/src/main/kotlin/flaxfield/jobs/JobDesk.kt
@@ -27,6 +27,7 @@
 
     private val finished: Cache<String, Finished> =
         Caffeine.newBuilder().maximumSize(hub.operator.finishedCache.toLong()).executor(Runnable::run).build()
+    private val ended = OverDesk(hub) { finished.put(it.id, it) }
     private val waiters = ArrayList<Waiter>()
     private var confirming = false
     private var nextConfirmNs = 0L
@@ -133,7 +134,8 @@
         val key = Keys.JOB + id
         if (hub.isBusy(key)) return confirmed(id, reply) { cancel(id, reply, tries - 1) }
         val cancelled = job.copy(cancelledMs = hub.nowMs)
-        val txn = if (job.placedCount == 0) {
+        // Of a job with several chunks a placement may just be committed in one: only those after the cancellation fail.
+        val txn = if (job.placedCount == 0 && job.spec.shards <= job.chunkTasks) {
             Settlement.over(hub, cancelled, aborted = true, fenced = false)
         } else {
             Txn(mapOf(key to job.stamp), listOf(Change.Put(key, JobCodec.encodeHead(cancelled))))
@@ -154,25 +156,12 @@
     private fun cancelAnswer(f: Finished, reply: Reply) =
         answer(reply, 200, mapOf("id" to f.id, "phase" to if (f.aborted) "aborted" else "done"))
 
-    /** Reads a finished job from the store. */
-    private fun over(id: String, reply: Reply, found: (Finished) -> Unit, absent: () -> Unit) {
-        if (!hub.budget.take(Cause.FINISH, 0, hub.nowNs)) return later(reply, "too many requests")
-        hub.store.get(Keys.OVER + id) { read ->
-            hub.post {
-                when (read) {
-                    is Read.Found -> {
-                        hub.stateOk()
-                        val f = JobCodec.decodeFinished(id, read.value)
-                        finished.put(id, f)
-                        found(f)
-                    }
-                    is Read.Absent -> {
-                        hub.stateOk()
-                        absent()
-                    }
-                    is Read.Failed -> later(reply, "the state service does not answer")
-                }
-            }
+    /** Looks for a finished job in the store. */
+    private fun over(id: String, reply: Reply, found: (Finished) -> Unit, absent: () -> Unit) = ended.ask(id) { e ->
+        when (e) {
+            is Ended.Known -> found(e.job)
+            is Ended.Absent -> absent()
+            is Ended.Unclear -> later(reply, "not found out in time")
         }
     }
 
@@ -221,6 +210,7 @@
     }
 
     fun tick() {
+        ended.run()
         if (waiters.isEmpty()) return
         val late = waiters.filter { hub.nowNs - it.sinceNs > CONFIRM_MS * NS_PER_MS }
         if (late.isNotEmpty()) {
--- /dev/null
+++ b/src/main/kotlin/flaxfield/jobs/OverDesk.kt
@@ -0,0 +1,105 @@
+package flaxfield.jobs
+
+import flaxfield.node.Hub
+import flaxfield.store.Cause
+import flaxfield.store.Keys
+import flaxfield.store.Read
+
+/** What the store says of a job that is not in the view. */
+sealed interface Ended {
+    data class Known(val job: Finished) : Ended
+
+    /** Never accepted. */
+    data object Absent : Ended
+
+    /** Not found out: too many ask, or the store does not answer. */
+    data object Unclear : Ended
+}
+
+/**
+ * Looks for jobs among those that are over. One comparison asks for many ids at once, and only those that it finds are
+ * read: asked one by one, polls for ids that nobody submitted used up the node's requests.
+ */
+class OverDesk(private val hub: Hub, private val found: (Finished) -> Unit) {
+    private class Ask(val sinceNs: Long, val done: (Ended) -> Unit)
+
+    private val waiting = LinkedHashMap<String, ArrayList<Ask>>()
+    private var asks = 0
+    private var comparing = false
+    private var reading = 0
+    private var nextNs = 0L
+
+    /** [done] is called once. */
+    fun ask(id: String, done: (Ended) -> Unit) {
+        if (asks >= MOST_ASKS) return done(Ended.Unclear)
+        asks++
+        waiting.getOrPut(id) { ArrayList() } += Ask(hub.nowNs, done)
+        run()
+    }
+
+    /** Sends what may be sent now, and gives up on what has waited too long. */
+    fun run() {
+        if (waiting.isEmpty()) return
+        val before = hub.nowNs - WAIT_MS * NS_PER_MS
+        for (id in waiting.filterValues { it.first().sinceNs < before }.keys) finish(id, Ended.Unclear)
+        if (comparing || waiting.isEmpty() || hub.nowNs < nextNs) return
+        if (!hub.budget.take(Cause.READ, 0, hub.nowNs)) return
+        comparing = true
+        nextNs = hub.nowNs + GAP_MS * NS_PER_MS
+        val ids = waiting.keys.take(hub.settings.stateLimits.txnOps * CONDITIONS)
+        val sent = ids.associateWith { waiting.getValue(it).toList() }
+        hub.store.present(ids.map { Keys.OVER + it }) { present ->
+            hub.post {
+                comparing = false
+                if (present != null) hub.stateOk()
+                for ((id, asked) in sent) {
+                    when {
+                        present == null -> finish(id, Ended.Unclear, asked)
+                        Keys.OVER + id in present -> read(id, asked)
+                        else -> finish(id, Ended.Absent, asked)
+                    }
+                }
+                run()
+            }
+        }
+    }
+
+    private fun read(id: String, asked: List<Ask>) {
+        if (reading >= MOST_READS || !hub.budget.take(Cause.READ, 0, hub.nowNs)) return finish(id, Ended.Unclear, asked)
+        reading++
+        hub.store.get(Keys.OVER + id) { read ->
+            hub.post {
+                reading--
+                val ended = when (read) {
+                    is Read.Found -> Ended.Known(JobCodec.decodeFinished(id, read.value).also(found))
+                    is Read.Absent -> Ended.Absent
+                    is Read.Failed -> Ended.Unclear
+                }
+                finish(id, ended, asked)
+            }
+        }
+    }
+
+    /** Answers [asked], or all who ask for [id]; those who came after a comparison was sent wait for the next. */
+    private fun finish(id: String, ended: Ended, asked: List<Ask> = waiting[id].orEmpty().toList()) {
+        val open = waiting[id] ?: return
+        val answered = asked.filter { it in open }
+        open.removeAll(answered.toSet())
+        if (open.isEmpty()) waiting.remove(id)
+        asks -= answered.size
+        for (a in answered) a.done(ended)
+    }
+
+    private companion object {
+        const val MOST_ASKS = 256
+        const val MOST_READS = 8
+
+        /** PROTOCOL-flaxfield.md: four times as many conditions as changes in a transaction. */
+        const val CONDITIONS = 4
+
+        /** Users wait 2 s for a poll's answer, and the view was waited for before. */
+        const val WAIT_MS = 1_200L
+        const val GAP_MS = 100L
+        const val NS_PER_MS = 1_000_000L
+    }
+}
--- a/src/main/kotlin/flaxfield/jobs/Settle.kt
+++ b/src/main/kotlin/flaxfield/jobs/Settle.kt
@@ -28,15 +28,14 @@
 
     /** The job after [events], or the same object if none of them applies. */
     fun apply(job: Job, events: Collection<TaskEvent>, nowMs: Long, backoffMs: Long): Job {
-        var j = job
-        for (e in events) {
-            if (j.placed(e.index)?.attempt != e.attempt) continue
-            j = when (e) {
-                // The tasks of a gang complete together: if one is done, all are.
-                is TaskEvent.Done -> if (j.isGang) j.finish((0 until j.spec.shards).toList()) else j.finish(listOf(e.index))
-                is TaskEvent.Left -> left(j, e, nowMs, backoffMs)
-            }
+        val done = events.filter { it is TaskEvent.Done && job.placed(it.index)?.attempt == it.attempt }.map { it.index }
+        var j = when {
+            done.isEmpty() -> job
+            // The tasks of a gang complete together: if one is done, all are.
+            job.isGang -> job.finish((0 until job.spec.shards).toList())
+            else -> job.finish(done)
         }
+        for (e in events) if (e is TaskEvent.Left && j.placed(e.index)?.attempt == e.attempt) j = left(j, e, nowMs, backoffMs)
         return j
     }
 
@@ -48,7 +47,8 @@
         val hosts = (j.errorHosts - e.host + e.host).takeLast(MAX_HOSTS_KEPT)
         val errors = j.errors + 1
         val over = hosts.size - FAULTY_JOB_HOSTS
-        val retry = if (over < 0) 0L else nowMs + (backoffMs shl minOf(over, MAX_BACKOFF_STEPS))
+        // One completed task shows that the job is no mistake: its failures were the machines'.
+        val retry = if (over < 0 || j.doneCount > 0) 0L else nowMs + (backoffMs shl minOf(over, MAX_BACKOFF_STEPS))
         return j.copy(errorHosts = hosts, errors = errors, retryAtMs = retry)
     }
 }
--- a/src/main/kotlin/flaxfield/jobs/Settlement.kt
+++ b/src/main/kotlin/flaxfield/jobs/Settlement.kt
@@ -28,6 +28,7 @@
     fun run() {
         val term = hub.term() ?: return
         if (!hub.mayDecide()) return
+        val wanted by lazy(LazyThreadSafetyMode.NONE) { hub.world.jobs.values.any { !it.cancelled && it.pendingCount > 0 } }
         val jobs = pending.iterator()
         while (jobs.hasNext()) {
             val (id, proofs) = jobs.next()
@@ -39,7 +40,7 @@
             }
             val events = proofs.events.values.toList()
             val hurry = hurry(job, events)
-            if (!hurry && !gathered(proofs)) continue
+            if (!hurry && !gathered(proofs) { wanted }) continue
             // Not even what is most urgent may be written: the rest waits as well.
             if (!hub.maySpend(Cause.FINISH, 1)) break
             val cause = when {
@@ -62,19 +63,18 @@
     private fun mine(host: String) = hub.world.machines[host]?.let { hub.owns(it) } ?: true
 
     /** Ends of an array's tasks gather for a while, unless changes are plenty: several of them are one write. */
-    private fun gathered(proofs: Proofs): Boolean {
+    private fun gathered(proofs: Proofs, wanted: () -> Boolean): Boolean {
         if (hub.budget.ample(hub.nowNs)) return true
-        val wanted = hub.world.jobs.values.any { !it.cancelled && it.pendingCount > 0 }
-        val wait = hub.settings.workers.reportS * if (wanted) WANTED_REPORTS else GATHER_REPORTS
+        val wait = hub.settings.workers.reportS * if (wanted()) WANTED_REPORTS else GATHER_REPORTS
         val due = proofs.sinceNs + (wait * NS).toLong()
         if (hub.nowNs < due) hub.wakeAt(due)
         return hub.nowNs >= due
     }
 
     private fun settle(job: Job, all: List<TaskEvent>, term: ULong, cause: Cause): Boolean {
-        if (job.chunks.keys.any { hub.isBusy(Keys.chunk(job.id, it)) }) return false
         // As many chunks as one transaction holds; the others follow in the next.
         val some = all.mapTo(LinkedHashSet()) { it.index / job.chunkTasks }.take(chunksAtOnce(hub.settings.stateLimits)).toSet()
+        if ((some + 0).any { hub.isBusy(Keys.chunk(job.id, it)) }) return false
         val events = all.filter { it.index / job.chunkTasks in some }
         val next = Settle.apply(job, events, hub.nowMs, (hub.settings.workers.reportS * BACKOFF_REPORTS * MS).toLong())
         if (next === job) return false
@@ -133,11 +133,17 @@
         /** The condition that every decision's transaction carries: the assignment it was made under. */
         fun fence(hub: Hub): Map<String, ULong> = mapOf(Keys.ASSIGNMENT to hub.world.stamp(Keys.ASSIGNMENT))
 
-        /** The transaction that replaces [old]'s record by [next]. The head is always part of it. */
+        /**
+         * The transaction that replaces [old]'s record by [next]. The head's stamp is always a condition, since it tells
+         * of a cancellation; it is written only if it changes, or if the job's tasks depend on one another. Written each
+         * time, it made parts that place and end tasks in different chunks of one array fail one another.
+         */
         fun write(old: Job, next: Job, term: ULong): Txn {
-            val changed = next.chunks.filter { (n, c) -> n == 0 || old.chunks[n] !== c }
+            val head = old.boundTogether || !old.sameHead(next)
+            val changed = next.chunks.filter { (n, c) -> n == 0 && head || old.chunks[n] !== c }
             val conditions = HashMap<String, ULong>()
             conditions[Keys.ASSIGNMENT] = term
+            conditions[Keys.JOB + old.id] = old.stamp
             for (n in changed.keys) conditions[Keys.chunk(old.id, n)] = if (n == 0) old.stamp else old.chunks[n]?.stamp ?: 0uL
             val puts = changed.map { (n, c) ->
                 Change.Put(Keys.chunk(old.id, n), if (n == 0) JobCodec.encodeHead(next) else JobCodec.encodeChunk(c))
--- a/src/main/kotlin/flaxfield/net/Http.kt
+++ b/src/main/kotlin/flaxfield/net/Http.kt
@@ -25,7 +25,15 @@
 import java.util.concurrent.TimeUnit
 
 /** One request as the network thread saw it; [reply] may be used once, by the owner thread or the network thread. */
-class Request(val method: String, val path: String, val query: String, val body: ByteArray, val reply: Reply)
+class Request(
+    val method: String,
+    val path: String,
+    val query: String,
+    val body: ByteArray,
+    /** Whether whoever asked still waits: a request that was given up on needs no answer, nor the work for one. */
+    val waits: () -> Boolean = { true },
+    val reply: Reply,
+)
 
 /** An answer's body and its type. */
 class Body(val bytes: ByteArray, val type: String) {
@@ -115,7 +123,8 @@
             val at = uri.indexOf('?')
             val path = if (at < 0) uri else uri.substring(0, at)
             val query = if (at < 0) "" else uri.substring(at + 1)
-            onRequest(Request(msg.method().name(), path, query, ByteBufUtil.getBytes(msg.content()), reply))
+            val channel = ctx.channel()
+            onRequest(Request(msg.method().name(), path, query, ByteBufUtil.getBytes(msg.content()), { channel.isActive }, reply))
         }
 
         @Deprecated("Netty's name for it")
--- a/src/main/kotlin/flaxfield/node/Controller.kt
+++ b/src/main/kotlin/flaxfield/node/Controller.kt
@@ -79,6 +79,7 @@
     private val stalls = StallDesk(hub, settlement)
     private val follower = Follower(hub, jobs, workers)
 
+    private var lastNs = 0L
     private var nextTickNs = 0L
     private var nextDecideNs = 0L
     private var decideAnywayNs = 0L
@@ -90,10 +91,12 @@
 
     /** Carries out one command; no fault in it ends the process. */
     fun handle(c: Command) = safely {
+        noteStandstill()
         when (c) {
             is Command.Run -> c.block()
             is Command.Peer -> peer(c)
-            is Command.Http -> {
+            // After a standstill the queue holds what its senders have given up: the present comes first.
+            is Command.Http -> if (c.request.waits()) {
                 val startNs = System.nanoTime()
                 route(c.request)
                 val ns = System.nanoTime() - startNs
@@ -105,6 +108,7 @@
 
     /** What is due by now: called after each batch of commands and at least every [TICK_MS]. */
     fun turn() {
+        noteStandstill()
         val now = hub.nowNs
         if (now >= nextTickNs) {
             nextTickNs = now + TICK_MS * NS_PER_MS
@@ -117,6 +121,20 @@
         }
     }
 
+    /**
+     * The owner wakes every [TICK_MS]: a much longer gap is our own standstill. What was not heard meanwhile says nothing
+     * of workers: their silence is counted without it.
+     */
+    private fun noteStandstill() {
+        val now = hub.nowNs
+        val gap = now - lastNs
+        val first = lastNs == 0L
+        lastNs = now
+        if (first || gap < settings.workers.leaseS * STANDSTILL_SHARE * NS_PER_S) return
+        log.info("stood still for {} ms: silence is counted without it", gap / NS_PER_MS)
+        workers.stoodStill(gap)
+    }
+
     private fun route(r: Request) {
         val path = r.path
         when {
@@ -215,6 +233,9 @@
         private const val DIRECT_TIMEOUT_MS = 2_000L
         private const val AWAY_SHARE = 0.25
 
+        /** A gap between turns of this share of a worker's lease is a standstill; a busy process's turns are far shorter. */
+        private const val STANDSTILL_SHARE = 0.1
+
         /** How often a line in the log tells what the process has done so far. */
         private const val LOAD_LINE_S = 60.0
         private const val NS_PER_MS = 1_000_000L
--- a/src/main/kotlin/flaxfield/quota/Quota.kt
+++ b/src/main/kotlin/flaxfield/quota/Quota.kt
@@ -80,13 +80,15 @@
 
     /**
      * Guarantee first, then priority, then the team that uses the least share, then age. Before all of these
-     * come jobs submitted before [lateMs] that have not begun: none of the orders may starve one for ever.
+     * come jobs submitted before [lateMs] that have not begun: none of the orders may starve one for ever. After all of
+     * them come jobs that seem to be mistakes.
      */
     fun sort(jobs: Collection<Job>, guaranteed: Set<String>, use: TeamUse, lateMs: Long = 0): List<Job> {
         val shares = HashMap<String, Double>()
         return jobs.map { j ->
             Place(
                 j,
+                last = j.comesLast(lateMs),
                 late = j.submittedMs < lateMs && j.placedCount == 0 && j.doneCount == 0,
                 within = j.id in guaranteed,
                 share = shares.getOrPut(j.spec.owner) { use.share(j.spec.owner) },
@@ -95,10 +97,11 @@
     }
 
     /** What a job's place depends on, worked out once and not at each comparison. */
-    private class Place(val job: Job, val late: Boolean, val within: Boolean, val share: Double)
+    private class Place(val job: Job, val last: Boolean, val late: Boolean, val within: Boolean, val share: Double)
 
     private val ORDER = Comparator<Place> { a, b ->
         when {
+            a.last != b.last -> if (a.last) 1 else -1
             a.late != b.late -> if (a.late) -1 else 1
             a.within != b.within -> if (a.within) -1 else 1
             a.job.spec.urgency != b.job.spec.urgency -> b.job.spec.urgency.compareTo(a.job.spec.urgency)
@@ -108,9 +111,15 @@
         }
     }
 
-    /** Whether [job] may take the place of a task of [other] ("Preemption" in PROTOCOL-flaxfield.md). */
-    fun mayPreempt(job: Job, jobGuaranteed: Boolean, other: Job, use: TeamUse): Boolean = job.spec.urgency > other.spec.urgency ||
-        (jobGuaranteed && other.spec.owner != job.spec.owner && use.borrows(other.spec.owner))
+    /**
+     * Whether [job] may take the place of a task of [other] ("Preemption" in PROTOCOL-flaxfield.md). Nobody makes way
+     * for what seems to be a mistake.
+     */
+    fun mayPreempt(job: Job, jobGuaranteed: Boolean, other: Job, use: TeamUse): Boolean = !job.suspect &&
+        (
+            job.spec.urgency > other.spec.urgency ||
+                (jobGuaranteed && other.spec.owner != job.spec.owner && use.borrows(other.spec.owner))
+            )
 
     private const val EPSILON = 1e-6
 }
--- a/src/main/kotlin/flaxfield/store/StoreClient.kt
+++ b/src/main/kotlin/flaxfield/store/StoreClient.kt
@@ -80,6 +80,17 @@
         }
     }
 
+    /** Which of [keys] exist, by a transaction that only compares; null without an answer. */
+    fun present(keys: List<String>, done: (Set<String>?) -> Unit) = txn(Txn(keys.associateWith { 0uL }, emptyList())) { o ->
+        done(
+            when (o) {
+                is Outcome.Committed -> emptySet()
+                is Outcome.Conflict -> o.failed.toSet()
+                else -> null
+            },
+        )
+    }
+
     fun list(under: String, from: String?, limit: Int, done: (Page?) -> Unit) {
         val start = if (from == null) "" else "&from=" + enc(from)
         calls.send("GET", "/keys?under=${enc(under)}$start&limit=$limit", null, timeoutMs * 2) { a ->
--- a/src/main/kotlin/flaxfield/store/World.kt
+++ b/src/main/kotlin/flaxfield/store/World.kt
@@ -148,7 +148,7 @@
             if (old != null) {
                 for ((n, c) in old.chunks) if (n != 0 && stamps.containsKey(Keys.chunk(id, n))) strayChunks["$id/$n"] = c
             }
-            replace(id, old, null)
+            replace(id, old, null, old?.chunks?.keys.orEmpty())
             return
         }
         var chunks = new.chunks
@@ -160,7 +160,7 @@
                 chunks = chunks + (stray.substringAfter('/').toInt() to chunk)
             }
         }
-        replace(id, old, new.copy(chunks = chunks))
+        replace(id, old, new.copy(chunks = chunks), if (old != null) HEAD_CHUNK else chunks.keys)
     }
 
     private fun setPart(name: String, value: Obj?, stamp: ULong) {
@@ -172,7 +172,7 @@
             if (chunk == null) strayChunks.remove(name) else strayChunks[name] = chunk
             return
         }
-        replace(id, job, job.copy(chunks = if (chunk == null) job.chunks - number else job.chunks + (number to chunk)))
+        replace(id, job, job.copy(chunks = if (chunk == null) job.chunks - number else job.chunks + (number to chunk)), setOf(number))
     }
 
     private fun setRoom(key: String, new: RoomSummary?) {
@@ -184,9 +184,10 @@
         }
     }
 
-    private fun replace(id: String, old: Job?, new: Job?) {
+    /** [numbers] are the chunks that may differ: a job of 25,000 tasks has a hundred, and its news are of one. */
+    private fun replace(id: String, old: Job?, new: Job?, numbers: Collection<Int>) {
         jobsVersion++
-        for (n in old?.chunks?.keys.orEmpty() + new?.chunks?.keys.orEmpty()) {
+        for (n in numbers) {
             val was = old?.chunks?.get(n)?.placed
             val now = new?.chunks?.get(n)?.placed
             if (was === now && old?.spec?.need == new?.spec?.need) continue
@@ -231,6 +232,9 @@
     /** How many records [job] has on [host]. */
     fun countOn(host: String, job: String): Int = placedOn[host]?.get(job)?.size ?: 0
 
+    /** How many records there are on [host]. */
+    fun tasksOn(host: String): Int = placedOn[host]?.values?.sumOf { it.size } ?: 0
+
     /** What the records leave free on a machine; null if its type is unknown. */
     fun free(machine: Machine): Room? = freeOn[machine.name] ?: run {
         var room = flavors[machine.flavor]?.room ?: return null
@@ -275,5 +279,6 @@
 
     private companion object {
         val log = LoggerFactory.getLogger("flaxfield.store")
+        val HEAD_CHUNK = setOf(0)
     }
 }
--- a/src/main/kotlin/flaxfield/workers/HostBook.kt
+++ b/src/main/kotlin/flaxfield/workers/HostBook.kt
@@ -17,7 +17,7 @@
     /** Images in the order of their last use; the cache keeps the latest. */
     val images = LinkedHashMap<String, Double>()
     var faulty: String? = null
-    var errors = 0
+    var failures = Failures()
 
     /** Whether our answers reach it. */
     var hearing = Hearing()
--- a/src/main/kotlin/flaxfield/workers/Orders.kt
+++ b/src/main/kotlin/flaxfield/workers/Orders.kt
@@ -9,6 +9,12 @@
 
 /** Pure decisions on one worker's report: the records are what should be, the report is what is. */
 object Orders {
+    /**
+     * So many records a machine may carry. A report tells of as many tasks again that have ended and are not cleared yet,
+     * some 70 bytes each, and what is sent to us or by us must fit 64 KiB: one that does not is lost, and its lease too.
+     */
+    const val MOST_TASKS = 300
+
     /**
      * @param records all task records on the host
      * @param term the current term; a report under another epoch proves no absence
--- a/src/main/kotlin/flaxfield/workers/WorkerDesk.kt
+++ b/src/main/kotlin/flaxfield/workers/WorkerDesk.kt
@@ -6,6 +6,7 @@
 import flaxfield.fleet.FleetCodec
 import flaxfield.fleet.Machine
 import flaxfield.fleet.MachinePhase
+import flaxfield.jobs.Job
 import flaxfield.jobs.Settlement
 import flaxfield.jobs.TaskEvent
 import flaxfield.net.Body
@@ -195,15 +196,32 @@
     }
 
     private fun blame(e: TaskEvent, book: HostBook) {
-        if (e is TaskEvent.Done) book.errors = 0
-        if (e !is TaskEvent.Left || !e.failed || book.faulty != null) return
-        val job = hub.world.jobs[e.job] ?: return
-        // A job that already failed elsewhere may itself be the mistake; the first time we blame the machine.
-        if (job.errorHosts.none { it != e.host }) {
-            book.faulty = "task ${e.job}/${e.index} failed"
-            log.info("host={} taken as faulty: {}", e.host, book.faulty)
+        if (e is TaskEvent.Done && !book.failures.none) book.failures = Failures()
+        if (e !is TaskEvent.Left || !e.failed) return
+        if (book.failures.none) log.info("host={} job={} task={} failed: machine or job, its next try tells", e.host, e.job, e.index)
+        book.failures = book.failures.failed(e.job, hub.nowNs)
+        hub.dirty = true
+    }
+
+    /** Whether the failures on a machine are its own. */
+    private fun blamed(book: HostBook): Blame {
+        if (book.failures.none) return Blame.NONE
+        val blame = book.failures.blame(book.host, hub.nowNs) { id ->
+            hub.world.jobs[id]?.takeIf { !it.cancelled }?.let { Failures.Trial(it.errorHosts, trialNs(it, book)) }
+        }
+        if (blame == Blame.NONE) book.failures = Failures()
+        if (blame == Blame.FAULTY) {
+            book.faulty = "tasks fail here and not elsewhere"
+            log.info("host={} taken as faulty: {}", book.host, book.faulty)
             hub.dirty = true
         }
+        return blame
+    }
+
+    /** How long a job's next try may take to fail as well: its launch, its image, and some more. */
+    private fun trialNs(job: Job, book: HostBook): Long {
+        val rate = hub.world.flavors[book.report?.flavor]?.fetchGbPerS ?: 1.0
+        return ((hub.settings.workers.leaseS + job.spec.pullGb / rate * TRIAL_FETCHES) * NS).toLong()
     }
 
     /** It gets no new work and is returned; its tasks move on the usual proofs. */
@@ -275,6 +293,8 @@
             }
             silent(host, book.reportNs) -> HostState.SILENT
             report.warningS != null -> HostState.NOTICE
+            blamed(book) == Blame.FAULTY -> HostState.FAULTY
+            blamed(book) == Blame.SUSPECT -> HostState.SUSPECT
             else -> HostState.OK
         }
     }
@@ -317,6 +337,16 @@
         for (b in books.values) b.pushedNs = 0
     }
 
+    /** We stood still for [gapNs]: reports and answers of that time were lost on our side, not on the workers'. */
+    fun stoodStill(gapNs: Long) {
+        if (ownerSinceNs != 0L) ownerSinceNs += gapNs
+        for (b in books.values) {
+            if (b.reportNs != 0L) b.reportNs += gapNs
+            b.hearing = Hearing()
+        }
+        heardNs.replaceAll { _, at -> at + gapNs }
+    }
+
     fun tick() {
         noteTerm()
         val term = hub.term() ?: return
@@ -383,6 +413,9 @@
         /** A worker not heard of for this many report intervals is sent the epoch. */
         const val QUIET_REPORTS = 2.0
 
+        /** Images fetched at once share the rate. */
+        const val TRIAL_FETCHES = 1.5
+
         /** Copies of reports come late, at times by well over a lease. */
         const val GONE_LEASES = 8.0
     }
--- a/src/test/kotlin/flaxfield/fleet/FleetRulesTest.kt
+++ b/src/test/kotlin/flaxfield/fleet/FleetRulesTest.kt
@@ -36,6 +36,21 @@
         assertEquals(mapOf(Offer("big", "a", false) to 1), rent(Samples.spec(site = "a", lendable = false), 4))
     }
 
+    @Test
+    fun `a machine that does not come up is judged by those rented after it`() {
+        val table = listOf(
+            Triple(47.0, 30.0, true) to Boot.COMING,
+            Triple(49.0, 30.0, true) to Boot.OVERDUE,
+            Triple(97.0, 30.0, true) to Boot.LOST,
+            // None came up since: all are slow, and returned at 3.2 boots none of them ever came.
+            Triple(95.0, 30.0, false) to Boot.COMING,
+            Triple(97.0, 30.0, false) to Boot.OVERDUE,
+            Triple(191.0, 30.0, false) to Boot.OVERDUE,
+            Triple(193.0, 30.0, false) to Boot.LOST,
+        )
+        for ((row, want) in table) assertEquals(want, Boot.of(row.first, row.second, row.third), "$row")
+    }
+
     @Test
     fun `ordinary machines are rented for cheap jobs only when they press`() {
         val none = setOf(Offer("big", "a", true), Offer("small", "a", true))
--- a/src/test/kotlin/flaxfield/jobs/JobTest.kt
+++ b/src/test/kotlin/flaxfield/jobs/JobTest.kt
@@ -5,7 +5,9 @@
 import flaxfield.codec.MalformedException
 import flaxfield.codec.Wire
 import flaxfield.settings.StateLimits
+import flaxfield.store.Keys
 import flaxfield.store.Sizes
+import flaxfield.store.Txn
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertNull
@@ -83,6 +85,9 @@
         val job = Samples.job().on(0 to "host-1").finish(listOf(0)).on(2 to "host-1")
         assertEquals(listOf(1, 3), job.pending().toList())
         assertEquals(listOf(3, 1), job.pending(2).toList())
+        val wide = Samples.job(Samples.spec(shards = 20)).on(1 to "h", 9 to "h").finish(listOf(9, 8))
+        assertEquals((10..19) + listOf(0) + (2..7), wide.pending(9).toList())
+        assertEquals((16..19).toList(), wide.pending { it == 2 }.toList())
     }
 
     @Test
@@ -141,6 +146,46 @@
         }
     }
 
+    @Test
+    fun `parts that change different chunks of an array do not fail one another`() {
+        // The head was written with each placement and each end: of three parts on one array all but one wrote in vain.
+        val array = Samples.job(Samples.spec(shards = 24)).on(9 to "h")
+        val far = Settlement.write(array, array.on(17 to "g"), 5uL)
+        assertEquals(listOf(Keys.chunk("job-1", 2)), far.changes.map { it.key })
+        // A cancellation changes the head: whatever is decided on the job before it must fail.
+        assertEquals(array.stamp, far.conditions[Keys.JOB + "job-1"])
+        assertEquals(5uL, far.conditions[Keys.ASSIGNMENT])
+        val failed = Settle.apply(array, listOf(TaskEvent.Left("job-1", 9, 1, "h", "error", true)), 0, 0)
+        assertEquals(setOf(Keys.JOB + "job-1", Keys.chunk("job-1", 1)), keys(Settlement.write(array, failed, 5uL)))
+        // Where one task may go depends on where the others are: their chunks must not change unnoticed.
+        for (spec in listOf(Samples.spec(shards = 24, samePlace = true), Samples.spec(shards = 24, shape = Shape.GANG))) {
+            val bound = Samples.job(spec)
+            assertEquals(setOf(Keys.JOB + "job-1", Keys.chunk("job-1", 2)), keys(Settlement.write(bound, bound.on(17 to "g"), 5uL)))
+        }
+    }
+
+    private fun keys(txn: Txn) = txn.changes.map { it.key }.toSet()
+
+    @Test
+    fun `a job that fails everywhere and completes nothing is taken for a mistake`() {
+        fun failed(job: Job, hosts: Int, times: Int) = job.copy(errorHosts = List(hosts) { "host-$it" }, errors = times)
+        val job = Samples.job()
+        val table = listOf(
+            job to false,
+            failed(job, 1, 9) to false,
+            failed(job, 2, 2) to true,
+            // It stands on more machines than it failed on, or has completed something: the machines were faulty.
+            failed(job.on(0 to "a", 1 to "b"), 2, 2) to false,
+            failed(job.on(0 to "a").finish(listOf(0)), 2, 9) to false,
+        )
+        for ((j, want) in table) assertEquals(want, j.suspect, "$j")
+        // Nobody waits for it; but if it has long been due in vain, it takes its turn as any other.
+        assertTrue(failed(job, 2, 2).copy(retryAtMs = 500).comesLast(lateMs = 400))
+        assertFalse(failed(job, 2, 2).copy(retryAtMs = 300).comesLast(lateMs = 400))
+        val done = failed(job.on(0 to "a", 1 to "b"), 3, 3).finish(listOf(0))
+        assertEquals(0, Settle.apply(done, listOf(TaskEvent.Left("job-1", 1, 1, "b", "error", true)), 1_000, 100).retryAtMs)
+    }
+
     @Test
     fun `what keeps a job from moving on is named`() {
         val known: (String) -> Boolean = { it == "h" }
--- a/src/test/kotlin/flaxfield/sim/Rules.kt
+++ b/src/test/kotlin/flaxfield/sim/Rules.kt
@@ -16,6 +16,13 @@
     var starts = 0
         private set
 
+    /** Jobs submitted with a mistake: they fail on every machine. */
+    val mistaken = HashSet<String>()
+
+    /** How many tasks of them started. */
+    var mistakenStarts = 0
+        private set
+
     /** Leases that ran out under a worker with tasks. */
     var leasesLost = 0
 
@@ -38,6 +45,7 @@
     fun starts(id: String, task: Int, place: Place, nowS: Double) {
         val spec = specs[id] ?: return broke("invented", "$id starts")
         starts++
+        if (id in mistaken) mistakenStarts++
         began.putIfAbsent(id, nowS)
         on[id to task]?.let { broke("ran_twice", "$id/$task starts on ${place.host} while on ${it.host}") }
         val others = on.filter { it.key.first == id && it.key.second != task }.values
