Jobs that waited long are kept from nothing; tasks on lost machines before idle machines

Strangers are compared with the view when they are returned, and the list is asked for before returns use up the cloud's rate.

Ruled out: missing cheap capacity, suspect jobs, claims.

--- a/src/main/kotlin/flaxfield/arrays/Placement.kt
+++ b/src/main/kotlin/flaxfield/arrays/Placement.kt
@@ -91,7 +91,10 @@
      * The part of a team's limit that its arrays leave free: what its waiting gangs need, or its latest
      * one's need for the next. Arrays that filled the limit made the team's gangs wait for minutes.
      */
-    fun ofLimit(team: String): Room = waiting[team] ?: gangs[team]?.let { it.spec.need * it.spec.shards } ?: Room.NONE
+    fun ofLimit(team: String): Room = ofWaiting(team).takeIf { it != Room.NONE } ?: gangs[team]?.let { it.spec.need * it.spec.shards } ?: Room.NONE
+
+    /** The part that its waiting gangs need. */
+    fun ofWaiting(team: String): Room = waiting[team] ?: Room.NONE
 
     /** Whether machines of this kind may be rented for tasks of [spec]. */
     fun rents(spec: JobSpec, flavor: String, lendable: Boolean): Boolean = lendable || !spec.lendable || flavor !in untilMs
@@ -99,8 +102,12 @@
     /** Whether tasks of [spec] are on a machine of this kind only until it is needed, or returned. */
     fun guests(spec: JobSpec, flavor: String, lendable: Boolean): Boolean = spec.saveEveryS > 0.0 && !rents(spec, flavor, lendable)
 
-    /** Whether tasks of [spec] may fill such a machine while it is free: those that save are cheap to evict. */
-    fun fills(spec: JobSpec, flavor: String, lendable: Boolean): Boolean = spec.saveEveryS > 0.0 || rents(spec, flavor, lendable)
+    /**
+     * Whether tasks of [spec] may fill such a machine while it is free: those that save are cheap to evict, and what has
+     * [waitedLong] has no other.
+     */
+    fun fills(spec: JobSpec, flavor: String, lendable: Boolean, waitedLong: Boolean = false): Boolean =
+        waitedLong || spec.saveEveryS > 0.0 || rents(spec, flavor, lendable)
 }
 
 /**
--- a/src/main/kotlin/flaxfield/fleet/FleetDemand.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetDemand.kt
@@ -4,7 +4,6 @@
 import flaxfield.arrays.ZoneRule
 import flaxfield.jobs.Job
 import flaxfield.jobs.JobSpec
-import flaxfield.jobs.Room
 import flaxfield.jobs.Validation
 import flaxfield.node.Hub
 import flaxfield.quota.JobOrder
@@ -30,12 +29,11 @@
         for (j in JobOrder.sort(waiting, guaranteed, use, late, hub::aimed)) {
             // What seems to be a mistake is tried on what is there: nothing is rented for it, for a long while.
             if (j.comesLast(late)) continue
-            val kept = if (j.isGang) Room.NONE else hub.reserved.ofLimit(j.spec.owner)
-            val n = minOf(places(j), use.allows(j.spec.owner, j.spec.need, kept))
+            val n = minOf(places(j), use.allows(j.spec.owner, j.spec.need, hub.kept(j)))
             if (n <= 0 || j.isGang && n < j.spec.shards) continue
             use.add(j.spec.owner, j.spec.need * n)
             if (!j.isGang && j.spec.lendable) ahead += n
-            result += Demand(j.spec, n, pressing(j, if (endsPerS > 0.0) ahead / endsPerS else Double.MAX_VALUE))
+            result += Demand(j.spec, n, pressing(j, if (endsPerS > 0.0) ahead / endsPerS else Double.MAX_VALUE), hub.waitedLong(j))
         }
         return FleetRules.together(result) + FleetRules.spares(rates(), ::lead, hub.operator.spareFactor, hub.operator.arraySpareFactor)
     }
--- a/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
@@ -149,11 +149,14 @@
         val changes = ArrayList<Change>()
         val reasons = ArrayList<Triple<Machine, MachinePhase, String>>()
         val conditions = HashMap(Settlement.fence(hub))
-        for (m in w.machines.values) {
-            if (m.phase == MachinePhase.RETIRING || hub.isBusy(Keys.HOST + m.name)) continue
-            val why = reasonToRetire(m) ?: continue
+        val due = w.machines.values.mapNotNull { m ->
+            if (m.phase == MachinePhase.RETIRING || hub.isBusy(Keys.HOST + m.name)) return@mapNotNull null
+            val why = reasonToRetire(m) ?: return@mapNotNull null
             val phase = if (why == SURPLUS) MachinePhase.DRAINING else MachinePhase.RETIRING
-            if (phase == m.phase) continue
+            if (phase == m.phase) null else Triple(m, phase, why)
+        }
+        // Tasks wait for the return of the machines that they are on: behind a thousand idle ones they did for minutes.
+        for ((m, phase, why) in due.sortedBy { w.isEmpty(it.first.name) }) {
             if (changes.size >= hub.budget.bulk(hub.settings.stateLimits.txnOps)) break
             conditions[Keys.HOST + m.name] = m.stamp
             changes += Change.Put(Keys.HOST + m.name, FleetCodec.encode(m.copy(phase = phase, claim = null)))
--- a/src/main/kotlin/flaxfield/fleet/FleetRules.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetRules.kt
@@ -18,6 +18,8 @@
     val tasks: Int,
     /** It has waited so long that machines of the ordinary kind may be rented though cheap ones would do. */
     val pressing: Boolean = false,
+    /** It has waited so long that it may use any machine that is there, also one kept for others. */
+    val waitedLong: Boolean = false,
 )
 
 /** The result of packing: machines to rent, and the hosts that the demand would use. */
@@ -60,7 +62,7 @@
             var tasks = d.tasks
             var next = 0
             while (tasks > 0) {
-                while (next < open.size && !(open[next].site == (zone ?: open[next].site) && takes(open[next], d.spec, rule, suits))) next++
+                while (next < open.size && !(open[next].site == (zone ?: open[next].site) && takes(open[next], d, rule, suits))) next++
                 if (next >= open.size) {
                     if (new >= mostNew) break
                     val loadNow = { site: String -> load(site, rent.entries.sumOf { (o, n) -> if (o.site == site) n else 0 }) }
@@ -124,7 +126,7 @@
         for ((n, d) in demands.withIndex()) {
             val s = d.spec
             val small = d.tasks <= SMALL_TASKS && s.shape == Shape.ARRAY && !s.samePlace && !s.scatter
-            val kind: Any = if (small) listOf(s.jobClass, s.owner, s.flavors, s.site, s.lendable, d.pressing) else n
+            val kind: Any = if (small) listOf(s.jobClass, s.owner, s.flavors, s.site, s.lendable, d.pressing, d.waitedLong) else n
             val before = merged[kind]
             merged[kind] = if (before == null) d else before.and(d)
         }
@@ -152,15 +154,15 @@
         val rule = ZoneRule(d.spec, emptyList())
         val room = HashMap<String, Int>()
         for (b in bins) {
-            if (takes(b, d.spec, rule, suits)) room.merge(b.site, minOf(d.tasks, b.free.count(d.spec.need)), Int::plus)
+            if (takes(b, d, rule, suits)) room.merge(b.site, minOf(d.tasks, b.free.count(d.spec.need)), Int::plus)
         }
         return room.maxByOrNull { minOf(it.value, d.tasks) }?.key
     }
 
-    private fun takes(bin: Bin, spec: JobSpec, rule: ZoneRule, suits: Suits): Boolean =
-        ZoneRule.kindAllowed(spec, bin.flavor, bin.site, bin.lendable) &&
-            suits(spec, bin.flavor, bin.lendable) &&
-            bin.free.holds(spec.need) &&
+    private fun takes(bin: Bin, d: Demand, rule: ZoneRule, suits: Suits): Boolean =
+        ZoneRule.kindAllowed(d.spec, bin.flavor, bin.site, bin.lendable) &&
+            (d.waitedLong && bin.host != null || suits(d.spec, bin.flavor, bin.lendable)) &&
+            bin.free.holds(d.spec.need) &&
             rule.allows(bin.site)
 
     /** The offer with the lowest price per task that it will really run. */
--- a/src/main/kotlin/flaxfield/fleet/ReturnDesk.kt
+++ b/src/main/kotlin/flaxfield/fleet/ReturnDesk.kt
@@ -14,17 +14,23 @@
     private var listOpen = false
     private var nextListNs = 0L
     private var returnOpen = false
-    private val unknownSinceNs = HashMap<String, Long>()
+    private val strangers = Strangers()
     private val failed = HashSet<String>()
 
+    /** Machines whose return was answered: gone for good, while their records still stand. */
+    private val gone = HashSet<String>()
+
     fun run() {
-        giveBack()
+        dropGone()
+        // The list first: it is asked for at its own pace, and behind returns and rentals it grew older than what it tells.
         askList()
+        giveBack()
     }
 
     /** This node leads no more: what it saw in lists is of no use to it. */
     fun forget() {
-        unknownSinceNs.clear()
+        strangers.clear()
+        gone.clear()
         nextListNs = 0
     }
 
@@ -58,19 +64,20 @@
         for (l in hosts) {
             if (l.failed && l.host in hub.world.machines) failed += l.host
         }
-        val unknown = hosts.map { it.host }.filter { it !in hub.world.machines }.toSet()
-        unknownSinceNs.keys.retainAll(unknown)
-        for (u in unknown) unknownSinceNs.putIfAbsent(u, hub.nowNs)
+        strangers.listed(hosts.map { it.host }, hub.world.machines.keys, hub.nowNs)
     }
 
     /** Returns what is marked as retiring, and machines listed for long that nobody knows. */
     private fun giveBack() {
         if (returnOpen) return
         val limit = ((hub.settings.listLagS * 2 + GONE_LISTED_S) * NS).toLong()
-        val strangers = unknownSinceNs.filterValues { hub.nowNs - it > limit }.keys
-        val retiring = hub.world.machines.values.filter { it.phase == MachinePhase.RETIRING && !hub.isBusy(Keys.HOST + it.name) }
+        val unknown = strangers.due(hub.world.machines.keys, hub.nowNs - limit)
+        // Those with tasks first: these go on elsewhere only on the answer.
+        val retiring = hub.world.machines.values
+            .filter { it.phase == MachinePhase.RETIRING && it.name !in gone && !hub.isBusy(Keys.HOST + it.name) }
             .map { it.name }
-        val names = (retiring + strangers).take(MOST_RETURNED)
+            .sortedBy { hub.world.isEmpty(it) }
+        val names = (retiring + unknown).take(MOST_RETURNED)
         if (names.isEmpty() || !rate.allows(hub.nowNs)) return
         returnOpen = true
         cloud.giveBack(names) { ok ->
@@ -82,23 +89,34 @@
         }
     }
 
-    /** The answer to a return proves that the machine and everything on it is gone. */
+    /**
+     * The answer to a return proves that the machine and everything on it is gone. Nothing is placed there any more, since
+     * each placement carries the machine's stamp, and its retirement has changed that.
+     */
     private fun returned(hosts: List<String>) {
-        val empty = ArrayList<Machine>()
         for (host in hosts) {
-            unknownSinceNs.remove(host)
+            strangers.forget(host)
             failed.remove(host)
             val m = hub.world.machines[host] ?: continue
             if (!hub.leads()) continue
-            val records = hub.world.on(host)
-            for (r in records) {
+            // One that was taken in while its return as a stranger was under way may still be given tasks: it is returned anew.
+            if (m.phase == MachinePhase.RETIRING) gone += host
+            for (r in hub.world.on(host)) {
                 settlement.add(TaskEvent.Left(r.job.id, r.placed.index, r.placed.attempt, host, "machine returned", false))
             }
-            if (records.isEmpty()) empty += m
         }
+        dropGone()
+    }
+
+    /** Drops the records of machines that are gone, once those of their tasks are. */
+    private fun dropGone() {
+        if (gone.isEmpty()) return
+        val w = hub.world
+        gone.retainAll(w.machines.keys)
+        val empty = gone.mapNotNull { w.machines[it] }.filter { w.isEmpty(it.name) && !hub.isBusy(Keys.HOST + it.name) }
         for (some in empty.chunked(hub.budget.bulk(hub.settings.stateLimits.txnOps))) {
             val conditions = Settlement.fence(hub) + some.associate { Keys.HOST + it.name to it.stamp }
-            hub.commit(Cause.FLEET, Txn(conditions, some.map { Change.Drop(Keys.HOST + it.name) }))
+            if (!hub.commit(Cause.FLEET, Txn(conditions, some.map { Change.Drop(Keys.HOST + it.name) }))) return
         }
     }
 
--- a/src/main/kotlin/flaxfield/node/Hub.kt
+++ b/src/main/kotlin/flaxfield/node/Hub.kt
@@ -2,6 +2,9 @@
 
 import flaxfield.arrays.Reserved
 import flaxfield.fleet.Machine
+import flaxfield.jobs.Job
+import flaxfield.jobs.Room
+import flaxfield.jobs.Waits
 import flaxfield.members.Member
 import flaxfield.quota.TeamUse
 import flaxfield.settings.OperatorSettings
@@ -60,6 +63,20 @@
         reservedAt = world.jobsVersion
         reservedNs = nowNs + (settings.workers.reportS * NS).toLong()
         reserved.note(world.jobs.values, world.flavors.values, nowMs, RESERVED_MS)
+        waits.note(world.jobs.values, nowMs)
+    }
+
+    /** Which jobs have waited with nothing on any machine. */
+    private val waits = Waits()
+
+    /** Whether a job has waited so long that nothing is kept from it for others any more. */
+    fun waitedLong(job: Job): Boolean = waits.long(job, nowMs)
+
+    /** The part of its team's limit that [job] leaves to the team's gangs. */
+    fun kept(job: Job): Room = when {
+        job.isGang -> Room.NONE
+        waitedLong(job) -> reserved.ofWaiting(job.spec.owner)
+        else -> reserved.ofLimit(job.spec.owner)
     }
 
     /** When the state service last answered us with anything but an error. */
--- a/src/test/kotlin/flaxfield/fleet/FleetRulesTest.kt
+++ b/src/test/kotlin/flaxfield/fleet/FleetRulesTest.kt
@@ -166,4 +166,23 @@
         val asked = { atS: Double, n: Int -> (1..n).count { rate.allows((atS * 1e9).toLong()) } }
         assertEquals(listOf(2, 0, 2, 5), listOf(asked(1.0, 10), asked(1.1, 10), asked(1.8, 10), asked(60.0, 10)))
     }
+
+    @Test
+    fun `only machines that nobody knows are strangers, whenever they were listed as such`() {
+        val s = Strangers()
+        s.listed(listOf("h1", "h2", "h3"), known = setOf("h3"), nowNs = 10)
+        s.listed(listOf("h1", "h2", "h4"), known = setOf("h3"), nowNs = 20)
+        val table = listOf(
+            Triple("too early", setOf<String>() to 10L, emptyList()),
+            Triple("listed since long", setOf<String>() to 11L, listOf("h1", "h2")),
+            // Taken in after the list: it was returned with all its tasks.
+            Triple("known by now", setOf("h1") to 11L, listOf("h2")),
+            Triple("each from its first list", setOf<String>() to 21L, listOf("h1", "h2", "h4")),
+        )
+        for ((what, asked, want) in table) assertEquals(want, s.due(asked.first, asked.second), what)
+        s.listed(listOf("h2"), known = emptySet(), nowNs = 30)
+        assertEquals(listOf("h2"), s.due(emptySet(), 99))
+        s.forget("h2")
+        assertEquals(emptyList<String>(), s.due(emptySet(), 99))
+    }
 }
