--- a/src/main/kotlin/flaxfield/cli/Main.kt
+++ b/src/main/kotlin/flaxfield/cli/Main.kt
@@ -34,10 +34,10 @@
         OptionSpec.builder("--properties").paramLabel("FILE").type(String::class.java)
             .description("the operators' own settings").build(),
     )
-    serve.mixinStandardHelpOptions(true)
+    serve.addHelp()
     val root = CommandSpec.create().name("flaxfield").version("flaxfield $VERSION")
     root.usageMessage().description("A cluster scheduler that places gangs all-or-nothing and arrays by parts.")
-    root.mixinStandardHelpOptions(true)
+    root.addHelp()
     root.addSubcommand("serve", serve)
     val warmUp = CommandSpec.create().name(WARM_UP)
     warmUp.usageMessage().hidden(true).description("Loads what serve needs and ends; the build makes the class-data archive with it.")
@@ -46,6 +46,12 @@
     return CommandLine(root)
 }
 
+/** picocli's own mixin for these is read from annotations, which took a quarter of a start's processor time. */
+private fun CommandSpec.addHelp() {
+    addOption(OptionSpec.builder("-h", "--help").usageHelp(true).description("Show this help message and exit.").build())
+    addOption(OptionSpec.builder("-V", "--version").versionHelp(true).description("Print version information and exit.").build())
+}
+
 fun main(args: Array<String>) {
     setUpLogs(System.getenv("LOG_LEVEL"))
     val line = commandLine()
--- a/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
@@ -241,7 +241,8 @@
         }
         // Machines that save a booting one come first: cheap kinds before ordinary ones.
         // Among the ordinary ones those with images, so that spares are kept where gangs start soonest.
-        bins.sortWith(compareBy({ if (it.lendable) 0 else 1 }, { -(it.host?.let(w::hostRoom)?.images?.size ?: 0) }))
+        val images = bins.associateWith { b -> b.host?.let(w::hostRoom)?.images?.size ?: 0 }
+        bins.sortWith(compareBy({ if (it.lendable) 0 else 1 }, { -images.getValue(it) }))
         val mostNew = maxOf(MOST_PER_HIRE, (hub.settings.cloudRps * MOST_PER_HIRE * hub.settings.workers.reportS * PLAN_REPORTS).toInt())
         val packing = FleetRules.pack(demand.demands(), bins, w.flavors, mostNew, hub.reserved::rents, load()) { o ->
             val r = refused[o]
--- a/src/main/kotlin/flaxfield/node/Hub.kt
+++ b/src/main/kotlin/flaxfield/node/Hub.kt
@@ -3,10 +3,8 @@
 import flaxfield.arrays.Reserved
 import flaxfield.fleet.Machine
 import flaxfield.jobs.Job
-import flaxfield.jobs.Room
 import flaxfield.jobs.Waits
 import flaxfield.members.Member
-import flaxfield.quota.JobOrder
 import flaxfield.quota.TeamUse
 import flaxfield.settings.OperatorSettings
 import flaxfield.settings.Settings
@@ -79,17 +77,15 @@
 
     /**
      * How many more tasks of [job] its team's limit allows beside [use]. Arrays leave a part of it to the team's gangs; one
-     * that has waited long leaves it only to gangs that wait and came before it, and of these only late ones keep it from a
-     * single task.
+     * that has waited long leaves it only to gangs that wait and came before it, and never more than all but one task: with
+     * that it waits no more, so that gangs lose one place for each of them at most.
      */
     fun allows(job: Job, use: TeamUse): Int {
         val team = job.spec.owner
         val need = job.spec.need
         if (job.isGang) return use.allows(team, need)
         if (!waitedLong(job)) return use.allows(team, need, reserved.ofLimit(team))
-        val beside = use.allows(team, need, reserved.ofWaiting(team, job.submittedMs))
-        val late = reserved.ofWaiting(team, JobOrder.lateMs(nowMs)) != Room.NONE
-        return if (beside > 0 || late) beside else minOf(1, use.allows(team, need))
+        return maxOf(use.allows(team, need, reserved.ofWaiting(team, job.submittedMs)), minOf(1, use.allows(team, need)))
     }
 
     /** When the state service last answered us with anything but an error. */
--- a/src/main/kotlin/flaxfield/settings/Settings.kt
+++ b/src/main/kotlin/flaxfield/settings/Settings.kt
@@ -81,6 +81,8 @@
             val workers = d.needObj("workers")
             val state = d.needObj("state")
             val cloud = d.needObj("cloud")
+            atLeast(d.obj("quota"), "cpu_share", LEAST_SHARE)
+            atLeast(d.obj("quota"), "mem_mb", LEAST_MB)
             return Settings(
                 nodeName = o.needText("node_name"),
                 zone = o.text("zone").orEmpty(),
@@ -135,12 +137,23 @@
             return n
         }
 
+        /** A part of the machine, if the file tells it: with less than [least] a process would only be killed, or never be ready. */
+        private fun atLeast(quota: Obj?, key: String, least: Double) {
+            if (quota?.map?.get(key) == null) return
+            if (!(quota.needNumber(key) >= least)) throw MalformedException("$key must be at least $least")
+        }
+
         private fun positive(o: Obj, key: String): Double {
             val v = o.needNumber(key)
             if (!(v > 0.0)) throw MalformedException("$key must be above 0")
             return v
         }
 
+        /** A start takes some 0.7 s of a core: longer than a minute at less than this. */
+        private const val LEAST_SHARE = 0.01
+
+        /** What a process without machines takes, and the least of its heap. */
+        private const val LEAST_MB = 80.0
         private const val DEFAULT_SOCKETS = 1024
 
         /** Listeners, the state service, the cloud, the peers, the process's own files, and a few that come in. */
--- a/src/main/kotlin/flaxfield/workers/WorkerDesk.kt
+++ b/src/main/kotlin/flaxfield/workers/WorkerDesk.kt
@@ -116,7 +116,19 @@
             log.info("host={} term={} shows cancelled tasks that halts did not end: its lease is not renewed", report.host, epoch)
             return reply.send(503, error("cancelled tasks go on"), RETRY_S)
         }
-        reply.send(200, Body(Wire.encode(ReportCodec.encode(epoch, orders)), Body.CBOR), null)
+        reply.send(200, if (orders.isEmpty()) plain(epoch) else Body(Wire.encode(ReportCodec.encode(epoch, orders)), Body.CBOR), null)
+    }
+
+    private var plainEpoch: ULong? = null
+    private var plainBody = Body.EMPTY
+
+    /** The answer without orders, which most reports get: encoded once a term. */
+    private fun plain(epoch: ULong): Body {
+        if (epoch != plainEpoch) {
+            plainBody = Body(Wire.encode(ReportCodec.encode(epoch, emptyList())), Body.CBOR)
+            plainEpoch = epoch
+        }
+        return plainBody
     }
 
     /** Whether a job was cancelled so long ago that only the end of a lease can still keep the promise. */
--- a/src/test/kotlin/flaxfield/sim/Rules.kt
+++ b/src/test/kotlin/flaxfield/sim/Rules.kt
@@ -25,6 +25,9 @@
     var mistakenStarts = 0
         private set
 
+    /** What is left to run of tasks that saved when they were stopped. */
+    val savedLeft = HashMap<Pair<String, Int>, Double>()
+
     /** Leases that ran out under a worker with tasks. */
     var leasesLost = 0
 
