--- a/src/main/kotlin/flaxfield/arrays/ArrayDesk.kt
+++ b/src/main/kotlin/flaxfield/arrays/ArrayDesk.kt
@@ -74,7 +74,7 @@
             if (!hub.maySpend(Cause.ARRAY, if (fenced(job)) 2 else 1)) break
             val fit = fit(job, seats).filter { held.offered(job.spec, it) }
             val placed = if (fit.isEmpty()) 0 else placeJob(job, fit, use, term)
-            val missing = minOf(job.pendingCount - placed, use.allows(job.spec.owner, job.spec.need, hub.kept(job)))
+            val missing = minOf(job.pendingCount - placed, hub.allows(job, use))
             // At its team's limit a job without a machine lost each place that came free to those after it, for minutes.
             if (placed == 0 && hub.waitedLong(job)) use.add(job.spec.owner, job.spec.need)
             if (missing > 0 && !job.suspect) held.hold(job.spec, missing / members + 1, seats) { suits(job, it) }
@@ -104,7 +104,7 @@
         val m = s.machine
         // Left to others that can use no other kind: filled by what loses little when it makes way, or has waited too long.
         if (!hub.reserved.rents(job.spec, m.flavor, m.lendable)) {
-            return hub.reserved.fills(job.spec, m.flavor, m.lendable, hub.waitedLong(job)) && m.flavor !in spokenFor()
+            return hub.waitedLong(job) || hub.reserved.fills(job.spec, m.flavor, m.lendable) && m.flavor !in spokenFor()
         }
         return m.lendable || !job.spec.lendable || mayHoldDear(job)
     }
@@ -135,7 +135,7 @@
         val use = hub.use()
         if (JobOrder.sort(waiting + job, hub.guaranteed(), use, JobOrder.lateMs(hub.nowMs), hub::aimed).first() !== job) return null
         val seats = fit(job, seats(job.spec.need))
-        val most = use.allows(job.spec.owner, job.spec.need, hub.kept(job))
+        val most = hub.allows(job, use)
         val found = ArrayRound.place(job, seats, ZoneRule(job.spec, emptyList()), 0, ArrayRound.Limits(most))
         if (found.size < job.spec.shards) return null
         val next = job.place(found.mapValues { (_, s) -> Job.Host(s.machine.name, s.tenure) })
@@ -212,7 +212,7 @@
             emptyList()
         }
         val width = if (job.suspect) PROBES else ShortTasks.width(job.spec, readyS(job), hub.settings.workers.reportS)
-        val most = minOf(use.allows(team.name, job.spec.need, hub.kept(job)), MOST_PER_JOB, width - job.placedCount)
+        val most = minOf(hub.allows(job, use), MOST_PER_JOB, width - job.placedCount)
         val limits = ArrayRound.Limits(most, MOST_HOSTS, Settlement.chunksAtOnce(hub.settings.stateLimits))
         val found = ArrayRound.place(job, seats, ZoneRule(job.spec, sites), offset(job), limits) { !hub.isBusy(Keys.chunk(job.id, it)) }
         if (found.isEmpty()) return 0
--- a/src/main/kotlin/flaxfield/arrays/Placement.kt
+++ b/src/main/kotlin/flaxfield/arrays/Placement.kt
@@ -57,7 +57,7 @@
 class Reserved {
     private val untilMs = HashMap<String, Long>()
     private val gangs = HashMap<String, Job>()
-    private var waiting: Map<String, Room> = emptyMap()
+    private var waiting: Map<String, List<Job>> = emptyMap()
     private var tasksWaiting: Map<String, Int> = emptyMap()
 
     /** Notes the jobs in the view; what they asked for stays reserved for [keepMs]. */
@@ -71,7 +71,6 @@
         gangs.values.removeIf { it.submittedMs < nowMs - keepMs }
         val parked = jobs.filter { it.isGang && !it.cancelled && it.placedCount == 0 && !it.suspect }
         waiting = parked.groupBy { it.spec.owner }
-            .mapValues { (_, list) -> list.fold(Room.NONE) { sum, j -> sum + j.spec.need * j.spec.shards } }
         tasksWaiting = flavors.associate { f ->
             f.label to parked.filter { !it.spec.lendable && Validation.allowed(it.spec, f) }.sumOf { it.spec.shards }
         }
@@ -91,10 +90,13 @@
      * The part of a team's limit that its arrays leave free: what its waiting gangs need, or its latest
      * one's need for the next. Arrays that filled the limit made the team's gangs wait for minutes.
      */
-    fun ofLimit(team: String): Room = ofWaiting(team).takeIf { it != Room.NONE } ?: gangs[team]?.let { it.spec.need * it.spec.shards } ?: Room.NONE
+    fun ofLimit(team: String): Room = if (team in waiting) ofWaiting(team, Long.MAX_VALUE) else gangs[team]?.let { need(it) } ?: Room.NONE
 
-    /** The part that its waiting gangs need. */
-    fun ofWaiting(team: String): Room = waiting[team] ?: Room.NONE
+    /** The part that its waiting gangs submitted before [beforeMs] need. */
+    fun ofWaiting(team: String, beforeMs: Long): Room =
+        waiting[team].orEmpty().fold(Room.NONE) { sum, j -> if (j.submittedMs < beforeMs) sum + need(j) else sum }
+
+    private fun need(j: Job) = j.spec.need * j.spec.shards
 
     /** Whether machines of this kind may be rented for tasks of [spec]. */
     fun rents(spec: JobSpec, flavor: String, lendable: Boolean): Boolean = lendable || !spec.lendable || flavor !in untilMs
@@ -102,12 +104,8 @@
     /** Whether tasks of [spec] are on a machine of this kind only until it is needed, or returned. */
     fun guests(spec: JobSpec, flavor: String, lendable: Boolean): Boolean = spec.saveEveryS > 0.0 && !rents(spec, flavor, lendable)
 
-    /**
-     * Whether tasks of [spec] may fill such a machine while it is free: those that save are cheap to evict, and what has
-     * [waitedLong] has no other.
-     */
-    fun fills(spec: JobSpec, flavor: String, lendable: Boolean, waitedLong: Boolean = false): Boolean =
-        waitedLong || spec.saveEveryS > 0.0 || rents(spec, flavor, lendable)
+    /** Whether tasks of [spec] may fill such a machine while it is free: those that save are cheap to evict. */
+    fun fills(spec: JobSpec, flavor: String, lendable: Boolean): Boolean = spec.saveEveryS > 0.0 || rents(spec, flavor, lendable)
 }
 
 /**
--- a/src/main/kotlin/flaxfield/fleet/FleetDemand.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetDemand.kt
@@ -29,7 +29,7 @@
         for (j in JobOrder.sort(waiting, guaranteed, use, late, hub::aimed)) {
             // What seems to be a mistake is tried on what is there: nothing is rented for it, for a long while.
             if (j.comesLast(late)) continue
-            val n = minOf(places(j), use.allows(j.spec.owner, j.spec.need, hub.kept(j)))
+            val n = minOf(places(j), hub.allows(j, use))
             if (n <= 0 || j.isGang && n < j.spec.shards) continue
             use.add(j.spec.owner, j.spec.need * n)
             if (!j.isGang && j.spec.lendable) ahead += n
--- a/src/main/kotlin/flaxfield/gangs/GangDesk.kt
+++ b/src/main/kotlin/flaxfield/gangs/GangDesk.kt
@@ -78,13 +78,15 @@
         val look = Look(seats(shapes), use, guaranteed, term)
         val late = hub.nowMs - (JobOrder.BEGIN_S * GATHER_SHARE * MS).toLong()
         val gathers = Gathering.next(waiting, late)
+        val atLimit = gathers?.takeIf { use.allows(it.spec.owner, it.spec.need) < it.spec.shards }
         val ordered = JobOrder.sort(waiting, guaranteed, use, JobOrder.lateMs(hub.nowMs), hub::aimed)
         for (job in listOfNotNull(gathers) + ordered.filter { it !== gathers }) {
+            if (atLimit != null && Gathering.yields(job, atLimit)) continue
             val p = parked[job.id]
             val parkedNow = p != null && hub.nowNs < p.untilNs
             if (!parkedNow && look.known.runs < MOST_ROUNDS) round(job, look)
-            // What is there for the gang that gathers is no longer there for those after it.
-            if (job === gathers && job.id !in claiming) look.seats = Gathering.without(job, look.seats, look.cleared(job))
+            // What is there for the gang that gathers is no longer there for those after it; at its team's limit it has no use for it.
+            if (job === gathers && job !== atLimit && job.id !in claiming) look.seats = Gathering.without(job, look.seats, look.cleared(job))
         }
     }
 
--- a/src/main/kotlin/flaxfield/gangs/Gathering.kt
+++ b/src/main/kotlin/flaxfield/gangs/Gathering.kt
@@ -15,6 +15,13 @@
     fun next(waiting: Collection<Job>, lateMs: Long): Job? = waiting.filter { it.submittedMs < lateMs && it.spec.shards > 1 && !it.suspect }
         .minWithOrNull(compareBy({ -it.spec.shards }, { it.submittedMs }, { it.id }))
 
+    /**
+     * Whether [job] leaves its team's limit to a gang that gathers and is kept from starting by that limit alone. Machines
+     * were kept for such a gang instead, which it could not use, and an earlier gang of its team found none for minutes.
+     */
+    fun yields(job: Job, atLimit: Job): Boolean =
+        job !== atLimit && job.spec.owner == atLimit.spec.owner && job.submittedMs > atLimit.submittedMs
+
     /**
      * [seats] less those that [job] will use: in the zone where it lacks the least, as many as it has tasks.
      * [cleared] are the same seats as they would be without the tasks that it may take the place of.
--- a/src/main/kotlin/flaxfield/jobs/JobCodec.kt
+++ b/src/main/kotlin/flaxfield/jobs/JobCodec.kt
@@ -42,9 +42,9 @@
             pullGb = amount(o, "pull_gb"),
             flavors = flavors?.toSet(),
             site = optionalText(o, "site"),
-            samePlace = optionalFlag(o, "same_place"),
-            scatter = optionalFlag(o, "scatter"),
-            lendable = optionalFlag(o, "lendable"),
+            samePlace = o.needFlag("same_place"),
+            scatter = o.needFlag("scatter"),
+            lendable = o.needFlag("lendable"),
             expectS = amount(o, "expect_s"),
             saveEveryS = amount(o, "snapshot_every_s"),
             saveS = amount(o, "snapshot_s"),
@@ -154,8 +154,6 @@
 
     private fun optionalText(o: Obj, key: String): String? = if (o.map[key] == null) null else text(o, key)
 
-    private fun optionalFlag(o: Obj, key: String): Boolean = if (o.map[key] == null) false else o.needFlag(key)
-
     private fun amount(o: Obj, key: String): Double {
         val v = o.needNumber(key)
         if (!(v >= 0.0) || v.isInfinite()) throw MalformedException("$key is invalid")
--- a/src/main/kotlin/flaxfield/jobs/JobDesk.kt
+++ b/src/main/kotlin/flaxfield/jobs/JobDesk.kt
@@ -196,6 +196,8 @@
                 confirming = false
                 if (read is Read.Absent) {
                     hub.stateOk()
+                    hub.knowledge.read(now, read.ledger)
+                    hub.knowledge.reached(hub.world.ledger)
                     for (w in asked) w.need = read.ledger
                     viewMoved()
                 } else {
--- a/src/main/kotlin/flaxfield/node/Follower.kt
+++ b/src/main/kotlin/flaxfield/node/Follower.kt
@@ -3,6 +3,7 @@
 import flaxfield.jobs.JobDesk
 import flaxfield.store.Cause
 import flaxfield.store.Keys
+import flaxfield.store.Read
 import flaxfield.store.Watched
 import flaxfield.workers.HostWatch
 import org.slf4j.LoggerFactory
@@ -17,17 +18,24 @@
     private var nextNs = 0L
     private var listFrom: ULong? = null
     private var complete = false
+    private var asking = false
+    private var nextAskNs = 0L
+
+    /** Half of what counts as fresh: one answer may be lost. */
+    private val askGapNs = (hub.settings.workers.reportS * ASK_REPORTS * NS_PER_S).toLong()
 
     fun start() {
         listing = true
         complete = false
         listFrom = null
         hub.world.clear()
+        hub.knowledge.forget()
         page(null)
     }
 
     private fun page(from: String?) {
         if (!hub.budget.take(Cause.LEASE, 0, hub.nowNs)) return retryList()
+        val sentNs = hub.nowNs
         hub.store.list(Keys.LIVE, from, PAGE) { page ->
             hub.post {
                 if (page == null) {
@@ -35,7 +43,10 @@
                 } else {
                     hub.stateOk()
                     // The watch starts from the first page's ledger: later pages may be newer, stamps tell.
-                    if (listFrom == null) listFrom = page.ledger
+                    if (listFrom == null) {
+                        listFrom = page.ledger
+                        hub.knowledge.read(sentNs, page.ledger)
+                    }
                     for (i in page.items) hub.world.apply(i)
                     if (page.more && page.items.isNotEmpty()) page(page.items.last().key) else listed(page.ledger)
                 }
@@ -52,31 +63,60 @@
         listing = false
         complete = true
         val first = listFrom ?: last
-        if (first == last) moved(last) else hub.world.advance(first)
+        if (first == last) {
+            moved(last)
+        } else {
+            hub.world.advance(first)
+            hub.knowledge.reached(first)
+        }
         log.info("view read at ledger={} jobs={} hosts={}", first, hub.world.jobs.size, hub.world.machines.size)
         tick()
     }
 
     fun tick() {
+        if (complete && !listing) ask()
         if (open || listing || hub.nowNs < nextNs) return
         if (!complete) return start()
         follow()
     }
 
+    /**
+     * A watch answers when something changes: in quiet times the view is up to date and we do not know it. Workers' leases
+     * depend on that knowledge, so it is asked for at the price of one request.
+     */
+    private fun ask() {
+        val now = hub.nowNs
+        if (asking || now < nextAskNs || hub.knowledge.within(askGapNs, now)) return
+        if (!hub.budget.take(Cause.LEASE, 0, now)) return
+        asking = true
+        nextAskNs = now + askGapNs
+        hub.store.get(Keys.NOTHING) { read ->
+            hub.post {
+                asking = false
+                if (read is Read.Absent) {
+                    hub.stateOk()
+                    hub.knowledge.read(now, read.ledger)
+                    hub.knowledge.reached(hub.world.ledger)
+                }
+            }
+        }
+    }
+
     private fun follow() {
         if (!hub.budget.take(Cause.LEASE, 0, hub.nowNs)) return
         open = true
-        nextNs = hub.nowNs + gapNs
-        hub.store.follow(Keys.LIVE, hub.world.ledger, BLOCK_MS) { w -> hub.post { watched(w) } }
+        val sentNs = hub.nowNs
+        nextNs = sentNs + gapNs
+        hub.store.follow(Keys.LIVE, hub.world.ledger, BLOCK_MS) { w -> hub.post { watched(w, sentNs) } }
     }
 
-    private fun watched(w: Watched) {
+    private fun watched(w: Watched, sentNs: Long) {
         val startNs = System.nanoTime()
-        take(w)
+        take(w, sentNs)
         hub.counts.spent("view", System.nanoTime() - startNs)
     }
 
-    private fun take(w: Watched) {
+    private fun take(w: Watched, sentNs: Long) {
         open = false
         when (w) {
             is Watched.News -> {
@@ -85,6 +125,7 @@
                     hub.world.apply(i)
                     if (i.value == null && i.key.startsWith(Keys.HOST)) hosts.forget(i.key.removePrefix(Keys.HOST))
                 }
+                hub.knowledge.read(sentNs, w.ledger)
                 moved(w.ledger)
                 tick()
             }
@@ -98,6 +139,7 @@
 
     private fun moved(ledger: ULong) {
         hub.world.advance(ledger)
+        hub.knowledge.reached(hub.world.ledger)
         synced = true
         hub.dirty = true
         hub.caughtUp()
@@ -119,6 +161,7 @@
         const val BLOCK_MS = 10_000L
         const val RETRY_MS = 250L
         const val FOLLOW_SHARE = 0.25
+        const val ASK_REPORTS = 0.5
         const val NS_PER_MS = 1_000_000L
         const val NS_PER_S = 1e9
     }
--- a/src/main/kotlin/flaxfield/node/Hub.kt
+++ b/src/main/kotlin/flaxfield/node/Hub.kt
@@ -6,11 +6,13 @@
 import flaxfield.jobs.Room
 import flaxfield.jobs.Waits
 import flaxfield.members.Member
+import flaxfield.quota.JobOrder
 import flaxfield.quota.TeamUse
 import flaxfield.settings.OperatorSettings
 import flaxfield.settings.Settings
 import flaxfield.store.Budget
 import flaxfield.store.Cause
+import flaxfield.store.Knowledge
 import flaxfield.store.Outcome
 import flaxfield.store.Share
 import flaxfield.store.Sizes
@@ -52,6 +54,9 @@
     private val heldBack = HashMap<String, Long>()
     val counts = Counts()
 
+    /** How old the view may be at most. */
+    val knowledge = Knowledge()
+
     /** Machine types whose ordinary kind is left to jobs that can use no other. */
     val reserved = Reserved()
 
@@ -72,11 +77,19 @@
     /** Whether a job has waited so long that nothing is kept from it for others any more. */
     fun waitedLong(job: Job): Boolean = waits.long(job, nowMs)
 
-    /** The part of its team's limit that [job] leaves to the team's gangs. */
-    fun kept(job: Job): Room = when {
-        job.isGang -> Room.NONE
-        waitedLong(job) -> reserved.ofWaiting(job.spec.owner)
-        else -> reserved.ofLimit(job.spec.owner)
+    /**
+     * How many more tasks of [job] its team's limit allows beside [use]. Arrays leave a part of it to the team's gangs; one
+     * that has waited long leaves it only to gangs that wait and came before it, and of these only late ones keep it from a
+     * single task.
+     */
+    fun allows(job: Job, use: TeamUse): Int {
+        val team = job.spec.owner
+        val need = job.spec.need
+        if (job.isGang) return use.allows(team, need)
+        if (!waitedLong(job)) return use.allows(team, need, reserved.ofLimit(team))
+        val beside = use.allows(team, need, reserved.ofWaiting(team, job.submittedMs))
+        val late = reserved.ofWaiting(team, JobOrder.lateMs(nowMs)) != Room.NONE
+        return if (beside > 0 || late) beside else minOf(1, use.allows(team, need))
     }
 
     /** When the state service last answered us with anything but an error. */
--- /dev/null
+++ b/src/main/kotlin/flaxfield/workers/Halting.kt
@@ -0,0 +1,26 @@
+package flaxfield.workers
+
+/**
+ * Pure: how often a worker has shown tasks of cancelled jobs though it was told to halt them. A worker that takes an
+ * answer carries out its orders, so that this should never come to anything; if it does, the end of its lease is the last
+ * way to keep the promise of `cancel_s`.
+ */
+data class Halting(
+    private val tenure: ULong = 0uL,
+    private val tally: ULong = 0uL,
+    private val shown: Map<Order.Halt, Int> = emptyMap(),
+) {
+    /** After report [r], which is answered with [halts]. A copy of an old report tells nothing. */
+    fun answered(r: Report, halts: List<Order.Halt>): Halting = when {
+        !r.newerThan(tenure, tally) -> this
+        r.tenure != tenure -> Halting(r.tenure, r.tally, halts.associateWith { 1 })
+        else -> Halting(r.tenure, r.tally, halts.associateWith { (shown[it] ?: 0) + 1 })
+    }
+
+    /** Whether halts did not help: one answer or two may be lost. */
+    val helpless: Boolean get() = shown.values.any { it > MOST_LOST }
+
+    private companion object {
+        const val MOST_LOST = 3
+    }
+}
--- a/src/main/kotlin/flaxfield/workers/HostBook.kt
+++ b/src/main/kotlin/flaxfield/workers/HostBook.kt
@@ -19,6 +19,9 @@
     var faulty: String? = null
     var failures = Failures()
 
+    /** Halts of cancelled tasks that were answered and do not show. */
+    var halting = Halting()
+
     /** Whether our answers reach it. */
     var hearing = Hearing()
     var pushedNs: Long = 0
--- a/src/main/kotlin/flaxfield/workers/Orders.kt
+++ b/src/main/kotlin/flaxfield/workers/Orders.kt
@@ -55,6 +55,30 @@
         }
     }
 
+    /** Halts of what the view knows as cancelled, and nothing else: such an order is right under any term and without a lease. */
+    fun cancelled(report: Report, records: List<OnHost>): List<Order> {
+        val off = records.filter { it.job.cancelled }.associateBy { it.job.id to it.placed.index }
+        if (off.isEmpty()) return emptyList()
+        return report.tasks.mapNotNull { t ->
+            off[t.job to t.index]?.takeIf { it.placed.attempt.toULong() == t.attempt && t.state != TaskState.ENDED }?.let { halt(t, it) }
+        }
+    }
+
+    /**
+     * What to halt now by a direct command. A task that [report] does not show may be on its way there, or have been
+     * started by an answer to an earlier owner: if the machine is [quiet] it is halted by its record.
+     */
+    fun haltsNow(records: List<OnHost>, report: Report?, quiet: Boolean, mayStop: Boolean): List<Order.Halt> = records.mapNotNull { r ->
+        if (!r.job.cancelled && !(mayStop && r.placed.stopping)) return@mapNotNull null
+        val attempt = r.placed.attempt.toULong()
+        val t = report?.tasks?.firstOrNull { it.job == r.job.id && it.index == r.placed.index && it.attempt == attempt }
+        when {
+            t != null -> if (t.state == TaskState.ENDED) null else halt(t, r)
+            r.job.cancelled && quiet -> Order.Halt(r.job.id, r.placed.index, attempt, 0.0)
+            else -> null
+        }
+    }
+
     /** The halt that a task on its machine should get, or null if it is to go on. */
     fun halt(t: ReportedTask, r: OnHost): Order.Halt? = when {
         r.job.cancelled -> Order.Halt(t.job, t.index, t.attempt, 0.0)
--- /dev/null
+++ b/src/main/kotlin/flaxfield/workers/Renewal.kt
@@ -0,0 +1,32 @@
+package flaxfield.workers
+
+import flaxfield.settings.WorkerTimes
+
+/**
+ * How old the view may be when a report is answered with 200, which renews its worker's lease. A task of a job whose
+ * cancellation is not in the view lives on until that lease ends, `lease_s` after the report was sent; and the
+ * cancellation was confirmed after the view's moment, if at all. So for every settings
+ *
+ *     age of the view at the answer + lease_s <= cancel_s
+ *
+ * must hold. A report is older than our look at the clock, and its way and ours only shorten what it is worth.
+ */
+class Renewal(times: WorkerTimes) {
+    /** How long a view that moves on lags at most: below it the bound would refuse workers in ordinary times. */
+    val freshS = times.reportS
+
+    /** Where `cancel_s` leaves no room for a lease, reports are answered on knowledge alone. */
+    val boundS = maxOf(times.cancelS * (1 - DRIFT) - times.leaseS * (1 + DRIFT) - times.reportS * MARGIN_REPORTS, freshS)
+
+    val boundNs = (boundS * NS).toLong()
+    val freshNs = (freshS * NS).toLong()
+
+    private companion object {
+        /** PROTOCOL-flaxfield.md: steady clocks drift apart by up to 0.05%. */
+        const val DRIFT = 0.0005
+
+        /** Timers fire late, and a worker looks at its lease from time to time only. */
+        const val MARGIN_REPORTS = 0.25
+        const val NS = 1e9
+    }
+}
--- a/src/main/kotlin/flaxfield/workers/StopDesk.kt
+++ b/src/main/kotlin/flaxfield/workers/StopDesk.kt
@@ -26,34 +26,49 @@
         if (sent) log.info("job={} tasks={} term={} to stop: {}", id, all, term, why)
     }
 
-    /** Halts at once what the records no longer want, without waiting for the next report. */
+    /**
+     * Halts at once what the records no longer want, without waiting for the next report. What is cancelled is halted also
+     * while our lease is over, and where the machine has not reported to us yet: its records and its last summary tell
+     * enough. A halt of a cancelled task is right under any term, and a worker drops it if it knows a newer one.
+     */
     fun haltNow() {
-        val term = hub.term() ?: return
-        if (!hub.mayDecide()) return
+        val term = hub.world.assignment?.term ?: return
         if (hub.world.halting.isEmpty()) return
+        val mayDecide = hub.mayDecide()
         val halting = hub.world.halting.flatMapTo(LinkedHashSet()) { id ->
             val job = hub.world.jobs[id]
-            job?.allPlaced()?.filter { job.cancelled || it.stopping }?.map { it.host }?.toList().orEmpty()
+            job?.allPlaced()?.filter { job.cancelled || mayDecide && it.stopping }?.map { it.host }?.toList().orEmpty()
         }
         for (host in halting) {
-            val book = hosts.known(host) ?: continue
-            val report = book.report ?: continue
-            if (report.tasks.isEmpty() || !hub.owns(host, report.site)) continue
+            val site = hub.world.machines[host]?.site ?: hosts.known(host)?.report?.site ?: continue
+            if (!hub.owns(host, site)) continue
+            val book = hosts.book(host)
             if (hub.nowNs - book.haltedNs < hub.settings.workers.reportS * NS) continue
-            val halts = hub.world.on(host).mapNotNull { r ->
-                if (!r.job.cancelled && !r.placed.stopping) return@mapNotNull null
-                val t = report.tasks.firstOrNull {
-                    it.job == r.job.id && it.index == r.placed.index && it.attempt == r.placed.attempt.toULong()
-                }
-                if (t == null || t.state == TaskState.ENDED) null else Orders.halt(t, r)
-            }
+            val halts = Orders.haltsNow(hub.world.on(host), book.report, quiet(book), mayDecide)
             if (halts.isEmpty()) continue
-            if (!direct.send(report.address, ReportCodec.encodeDirect(term, report.tenure, halts), hub.post)) continue
+            val worker = worker(book) ?: continue
+            if (!direct.send(worker.address, ReportCodec.encodeDirect(term, worker.tenure, halts), hub.post)) continue
             book.haltedNs = hub.nowNs
             log.debug("host={} term={} direct={}", host, term, halts)
         }
     }
 
+    /** Where a worker is to be reached. */
+    private class Reached(val address: String, val tenure: ULong)
+
+    /** By what it last told us or, if that is newer, an earlier owner: a late copy may have been the first that we heard. */
+    private fun worker(book: HostBook): Reached? {
+        val report = book.report
+        val room = hub.world.lastRoom(book.host)?.takeIf { it.tenure > 0uL && it.address.isNotEmpty() }
+        return when {
+            report != null && (room == null || report.tenure >= room.tenure) -> Reached(report.address, report.tenure)
+            room != null -> Reached(room.address, room.tenure)
+            else -> null
+        }
+    }
+
+    private fun quiet(book: HostBook): Boolean = hub.nowNs - book.reportNs > hub.settings.workers.reportS * QUIET_REPORTS * NS
+
     fun tick() {
         hosts.noteTerm()
         val term = hub.term() ?: return
@@ -67,11 +82,8 @@
             val host = m.name
             val book = hosts.book(host)
             if (hub.nowNs - maxOf(book.reportNs, hosts.ownerSinceNs, book.pushedNs) < quiet) continue
-            val room = hub.world.lastRoom(host)?.takeIf { it.tenure > 0uL }
-            val address = book.report?.address ?: room?.address ?: continue
-            val tenure = book.report?.tenure ?: room?.tenure ?: continue
-            if (address.isEmpty()) continue
-            if (!direct.send(address, ReportCodec.encodeDirect(term, tenure, emptyList()), hub.post)) continue
+            val worker = worker(book) ?: continue
+            if (!direct.send(worker.address, ReportCodec.encodeDirect(term, worker.tenure, emptyList()), hub.post)) continue
             book.pushedNs = hub.nowNs
             log.debug("host={} epoch={} pushed", host, term)
         }
--- a/src/main/kotlin/flaxfield/workers/WorkerDesk.kt
+++ b/src/main/kotlin/flaxfield/workers/WorkerDesk.kt
@@ -24,7 +24,7 @@
     private val hosts: HostWatch,
     private val stops: StopDesk,
 ) {
-    private val startNs = hub.nowNs
+    private val renewal = Renewal(hub.settings.workers)
 
     fun report(body: ByteArray, reply: Reply) {
         val report = try {
@@ -60,7 +60,7 @@
         }
         if (book.relayedNs == 0L) book.relayedNs = now
         peers.relay(owner, body) { status, answer ->
-            if (answer != null) reply.send(status, Body(answer, Body.CBOR), null) else keepAlive(term, reply)
+            if (answer != null) reply.send(status, Body(answer, Body.CBOR), null) else keepAlive(report, term, reply)
         }
     }
 
@@ -78,13 +78,11 @@
 
     /**
      * No member (yet), or behind the worker's epoch. While the state service does not answer us, we can't
-     * tell an outage from being refused alone: the worker's own epoch keeps its lease, for a bounded time.
+     * tell an outage from being refused alone: the worker's own epoch keeps its lease, as long as [Renewal] allows.
      */
     private fun withoutTerm(report: Report, reply: Reply) {
         val behind = hub.world.assignment?.let { report.epoch > it.term } ?: false
-        if (!behind && stateAway() && hub.nowNs - maxOf(startNs, hub.stateOkNs) < hub.settings.workers.cancelS * ALONE_SHARE * NS) {
-            return keepAlive(report.epoch, reply)
-        }
+        if (!behind && stateAway() && mayRenew()) return keepAlive(report, report.epoch, reply)
         val owner = hub.owner(report.host, report.site)
         if (owner != null &&
             owner != hub.me.name
@@ -97,20 +95,41 @@
 
     private fun stateAway() = hub.nowNs - hub.stateOkNs > hub.settings.workers.leaseS * AWAY_SHARE * NS
 
-    private fun keepAlive(epoch: ULong, reply: Reply) =
-        reply.send(200, Body(Wire.encode(ReportCodec.encode(epoch, emptyList())), Body.CBOR), null)
+    /**
+     * Answers without a decision. What is cancelled is halted all the same: a cancellation in the view is committed and
+     * stays, so its halts need neither a lease nor a term of ours.
+     */
+    private fun keepAlive(report: Report, epoch: ULong, reply: Reply) =
+        renew(report, hosts.book(report.host), epoch, Orders.cancelled(report, hub.world.on(report.host)), reply)
+
+    private fun mayRenew() = hub.knowledge.within(renewal.boundNs, hub.nowNs)
+
+    /**
+     * The only answer that renews a worker's lease. Not sent on a view so old that a cancellation unknown here could
+     * outlive `cancel_s`: the state service refused one controller, another confirmed cancellations, then it was out for
+     * all, and the first kept the tasks alive beyond it.
+     */
+    private fun renew(report: Report, book: HostBook, epoch: ULong, orders: List<Order>, reply: Reply) {
+        if (!mayRenew()) return reply.send(503, error("the view is too old"), RETRY_S)
+        book.halting = book.halting.answered(report, orders.filterIsInstance<Order.Halt>().filter { overdue(it.job) })
+        if (book.halting.helpless) {
+            log.info("host={} term={} shows cancelled tasks that halts did not end: its lease is not renewed", report.host, epoch)
+            return reply.send(503, error("cancelled tasks go on"), RETRY_S)
+        }
+        reply.send(200, Body(Wire.encode(ReportCodec.encode(epoch, orders)), Body.CBOR), null)
+    }
+
+    /** Whether a job was cancelled so long ago that only the end of a lease can still keep the promise. */
+    private fun overdue(id: String): Boolean =
+        hub.world.jobs[id]?.cancelledMs?.let { hub.nowMs - it > renewal.boundS * MS } ?: false
 
     private fun steward(owner: String?, reply: Reply) = reply.send(421, Body(Wire.encode(mapOf("steward" to owner)), Body.CBOR), null)
 
     private fun own(report: Report, book: HostBook, term: ULong, reply: Reply) {
-        // Our lease may be over while others already act under a newer term: no orders, and not for ever.
-        if (!hub.leaseValid()) {
-            val silent = hub.nowNs - hub.leaseUntilNs
-            if (silent > hub.settings.workers.cancelS * ALONE_SHARE * NS) return reply.send(503, error("no contact"), RETRY_S)
-            return keepAlive(term, reply)
-        }
+        // Our lease may be over while others already act under a newer term: no decisions, and not for ever.
+        if (!hub.leaseValid()) return keepAlive(report, term, reply)
         val last = book.report
-        if (last != null && !report.newerThan(last.tenure, last.tally)) return keepAlive(term, reply)
+        if (last != null && !report.newerThan(last.tenure, last.tally)) return keepAlive(report, term, reply)
         book.hearing = book.hearing.reported(report, term, hub.nowNs, hub.settings.workers.leaseS * NS)
         if (book.hearing.deaf) hosts.deaf(book)
         if (last == null) book.firstNs = hub.nowNs
@@ -126,20 +145,22 @@
         if (machine == null) {
             // A late copy may come from a machine that is long gone: only who knows our term is taken in.
             if (report.epoch == term) adopt(report)
-            return keepAlive(term, reply)
+            return keepAlive(report, term, reply)
         }
         learn(report, book)
         if (log.isDebugEnabled) changes(last, report)
         if (report.warningS != null) stops.drain(report, term)
         val records = hub.world.on(report.host)
-        val decision = Orders.decide(report, records, term, mayLaunch = machine.phase != MachinePhase.RETIRING)
+        // What another node has just cancelled must not start here: launches need a view that moves on.
+        val mayLaunch = machine.phase != MachinePhase.RETIRING && hub.knowledge.within(renewal.freshNs, hub.nowNs)
+        val decision = Orders.decide(report, records, term, mayLaunch)
         for (e in decision.events) {
             hosts.blame(e, book)
             settlement.add(e)
         }
         book.hearing = book.hearing.answered(report, term, decision.orders, hub.nowNs)
         if (log.isDebugEnabled) for (o in decision.orders) log.debug("host={} term={} order={}", report.host, term, o)
-        reply.send(200, Body(Wire.encode(ReportCodec.encode(term, decision.orders)), Body.CBOR), null)
+        renew(report, book, term, decision.orders, reply)
     }
 
     /** A machine that we do not know is taken in: a rental may be executed after we gave up on its answer. */
@@ -188,6 +209,7 @@
     private companion object {
         val log = LoggerFactory.getLogger("flaxfield.workers")
         const val NS = 1e9
+        const val MS = 1000.0
         const val RETRY_S = 1
 
         /** A worker that comes back within this share of its lease after being sent to its owner is relayed. */
@@ -196,9 +218,6 @@
         /** A worker that lost its owner is handed on for so many leases before it is sent there again. */
         const val RELAY_LEASES = 2.0
 
-        /** Without contact to the state service, reports are answered for this share of `cancel_s`. */
-        const val ALONE_SHARE = 0.6
-
         /** The state service seems away after this share of a worker's lease without an answer. */
         const val AWAY_SHARE = 0.25
     }
--- a/src/test/kotlin/flaxfield/arrays/PlacementTest.kt
+++ b/src/test/kotlin/flaxfield/arrays/PlacementTest.kt
@@ -141,6 +141,8 @@
         val r = Reserved()
         r.note(listOf(gang("job-1", 10), gang("job-2", 20)), emptyList(), 30, 100)
         assertEquals(Room(16.0, 4.0, 64.0), r.ofLimit("red"))
+        // What has waited long leaves it to earlier gangs only.
+        assertEquals(listOf(0.0, 2.0, 4.0), listOf(10L, 20L, 21L).map { r.ofWaiting("red", it).gpus })
         r.note(listOf(gang("job-2", 20).on(0 to "h", 1 to "h")), emptyList(), 30, 100)
         assertEquals(Room(8.0, 2.0, 32.0), r.ofLimit("red"))
         r.note(emptyList(), emptyList(), 200, 100)
--- a/src/test/kotlin/flaxfield/gangs/GangRoundTest.kt
+++ b/src/test/kotlin/flaxfield/gangs/GangRoundTest.kt
@@ -95,6 +95,10 @@
         fun old(id: String, n: Int, ms: Long) = gang(n, samePlace = true).let { it.copy(spec = it.spec.copy(id = id), submittedMs = ms) }
         val waiting = listOf(old("job-1", 2, 10), old("job-2", 4, 20), old("job-3", 4, 15), old("job-4", 8, 99))
         assertEquals("job-3", Gathering.next(waiting, lateMs = 50)?.id)
+        // Kept from starting by its team's limit alone: only what its team submitted later makes way for it.
+        val atLimit = Samples.job(Samples.spec(id = "job-3"), atMs = 20)
+        val rows = listOf("red" to 10L, "red" to 20L, "red" to 30L, "blue" to 30L)
+        assertEquals(listOf(false, false, true, false), rows.map { (team, ms) -> Gathering.yields(Samples.job(Samples.spec("job-4", owner = team), atMs = ms), atLimit) })
         assertEquals(null, Gathering.next(waiting, lateMs = 5))
         assertEquals(null, Gathering.next(listOf(old("job-5", 1, 0)), lateMs = 50), "a single task needs none")
         val seats = listOf(seat("a1", 1), seat("b1", 1, "b"), seat("b2", 1, "b"), seat("c1", 1, "c", lendable = true))
--- a/src/test/kotlin/flaxfield/jobs/JobTest.kt
+++ b/src/test/kotlin/flaxfield/jobs/JobTest.kt
@@ -44,6 +44,12 @@
             assertThrows<MalformedException>("$key=$value") { JobCodec.spec(Wire.decode(Wire.encode(wire + (key to value)))) }
         }
         assertEquals("job-000412", JobCodec.spec(Wire.decode(Wire.encode(wire + ("colour" to "red")))).id)
+        // Jobs that lacked a flag were accepted. A field that may be null may also be left out, no other.
+        val optional = setOf("flavors", "site", "due_s")
+        for (key in wire.keys) {
+            val without = Wire.decode(Wire.encode(wire - key))
+            if (key in optional) JobCodec.spec(without) else assertThrows<MalformedException>("without $key") { JobCodec.spec(without) }
+        }
     }
 
     @Test
@@ -200,4 +206,26 @@
         )
         for ((j, want) in table) assertEquals(want, StallRules.reason(j, 10, known))
     }
+
+    @Test
+    fun `a job has waited long once it had nothing on any machine for most of 90 s`() {
+        val waits = Waits()
+        val job = Samples.job()
+        val mistaken = Samples.job().copy(errorHosts = listOf("h1", "h2"), errors = 2)
+        waits.note(listOf(job), 0)
+        val table = listOf(
+            Triple("not yet", job to 54_000L, false),
+            Triple("long", job to 54_001L, true),
+            Triple("never seen to wait", Samples.job(Samples.spec(id = "job-2")) to 99_000L, false),
+            Triple("a mistake has no claim", mistaken to 99_000L, false),
+        )
+        for ((what, asked, want) in table) assertEquals(want, waits.long(asked.first, asked.second), what)
+        // Something of it has run meanwhile: it starts anew.
+        waits.note(listOf(job.on(0 to "h")), 60_000)
+        waits.note(listOf(job), 61_000)
+        assertEquals(false, waits.long(job, 100_000))
+        // Long at its team's limit, with nothing pending or cancelled: it does not wait.
+        waits.note(listOf(job.copy(cancelledMs = 1)), 62_000)
+        assertEquals(false, waits.long(job, 999_000))
+    }
 }
--- /dev/null
+++ b/src/test/kotlin/flaxfield/sim/MeetingsTest.kt
@@ -0,0 +1,76 @@
+package flaxfield.sim
+
+import flaxfield.Samples
+import flaxfield.jobs.Room
+import flaxfield.jobs.Shape
+import flaxfield.jobs.Urgency
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+
+/** Where two troubles meet: jobs of all kinds, some long, through the operators' list of meetings. */
+class MeetingsTest {
+    /** Arrays and gangs of both teams, one of them at its limit most of the time, some bound to a zone. */
+    private fun jobs(c: SimCluster): List<SimUser> = (1..26).map { n ->
+        val r = c.loop.random
+        val gang = n % 3 == 0
+        val spec = Samples.spec(
+            id = "job-$n", shape = if (gang) Shape.GANG else Shape.ARRAY, jobClass = if (gang) "train" else "score",
+            shards = if (gang) 1 + n / 3 % 3 else 1 + r.nextInt(if (n % 2 == 0) 4 else 6), urgency = if (gang) Urgency.HIGH else Urgency.IDLE,
+            owner = if (n % 3 == 1) "blue" else "red", lendable = !gang, need = if (gang) Room(12.0, 3.0, 40.0) else Room(4.0, 1.0, 16.0),
+            samePlace = n % 6 == 0, site = if (n % 8 == 1) "a" else null, saveEveryS = if (n % 4 == 0) 0.0 else 5.0,
+            // Some go on for longer than a cancellation has: what outlives it must be seen to.
+        ).copy(expectS = if (n % 2 == 0) 40.0 + r.nextInt(20) else 6.0 + r.nextInt(12), saveS = 1.0)
+        SimUser(c, c.job(spec))
+    }
+
+    /**
+     * The state service refuses the leader alone, others confirm cancellations, then it is out for all for longer than
+     * `cancel_s`, while workers report to the old leader: also where `cancel_s` is hardly more than two leases.
+     */
+    @ParameterizedTest
+    @CsvSource(
+        "202, gap, 20", "204, gap, 20", "202, gap, 12.5", "204, gap, 12.5", "210, gap, 12.5", "213, gap, 12.5", "214, gap, 12.5",
+        "214, gap+slow, 12.5", "102, gap+looks, 12.5", "103, gap+fornext+silent, 12.5", "105, gap+kill, 12.5", "104, gap+slow+cancels, 20",
+    )
+    fun `what another node confirmed as cancelled is gone in time though the state service is out`(seed: Int, kind: String, cancelS: Double) =
+        meet(kind, SimCluster(seed, perZone = 4, cancelS = cancelS))
+
+    @ParameterizedTest
+    @CsvSource(
+        // The seven of the operators' letter; the first of them is above.
+        "106, looks+cancels", "107, looks+silent+handover+atend",
+        "108, silent+handover", "109, silent+tenleaders+cancels",
+        "110, cancelhang+handover", "111, cancelcut+tenleaders", "112, cancelhang+cancelcut+freeze",
+        "113, cancels+handover+looks", "114, cancels+lone",
+        "115, quick+latewrites", "116, quick+silent+slow",
+        "117, fornext+handover", "118, fornext+copies+tenleaders+taken",
+        "119, swarm", "120, swarm+handover+looks",
+        // The others of their page.
+        "121, mute+cancels", "122, mute+handover", "123, deafspell+handover+copies", "124, latewrites+cancels+handover",
+        "125, latewrites+blink", "126, tenleaders+longoutage", "127, away", "128, away+fornext+cancels", "129, zone+cancels",
+        "130, slow+cancels+looks", "131, lonelead+cancels+looks", "132, hang+cancels+latewrites", "133, atend", "134, atend+looks+latewrites",
+        "135, taken+cancelcut", "136, odd", "137, odd+swarm+handover", "138, longoutage+cancelhang", "139, blink+fornext+silent+looks",
+    )
+    fun `no rule breaks where troubles meet`(seed: Int, kind: String) = meet(kind, SimCluster(seed, perZone = 4))
+
+    private fun meet(kind: String, c: SimCluster) {
+        for (i in c.names.indices) c.loop.after(i * 170 * SimLoop.MS) { c.boot(i) }
+        val users = jobs(c)
+        for ((n, u) in users.withIndex()) c.loop.after((2_000 + 3_100L * n) * SimLoop.MS, u::submit)
+        Troubles(c, users).begin(kind)
+        c.watch(TROUBLES_OVER_S)
+        c.loop.runUntil(END_S)
+        assertEquals(emptyList<String>(), c.rules.broken.take(8))
+        assertEquals(emptyList<String>(), c.state.broken)
+        val unfinished = users.filter { c.rules.told(it.spec.id) !in Rules.FINAL }
+        assertEquals(emptyList<String>(), unfinished.map { it.spec.id + " " + c.rules.told(it.spec.id) })
+        assertTrue(c.rules.starts >= users.size, "${c.rules.starts} starts")
+    }
+
+    private companion object {
+        const val TROUBLES_OVER_S = 125.0
+        const val END_S = 420.0
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/flaxfield/sim/SimCluster.kt
@@ -0,0 +1,277 @@
+package flaxfield.sim
+
+import flaxfield.Samples
+import flaxfield.jobs.JobSpec
+import flaxfield.net.Answer
+import flaxfield.net.Request
+import flaxfield.node.Command
+import flaxfield.node.Controller
+import flaxfield.node.Outside
+import flaxfield.peers.PeerLine
+import flaxfield.peers.PeerMessage
+import flaxfield.settings.Address
+import flaxfield.settings.OperatorSettings
+import flaxfield.settings.Peer
+import flaxfield.settings.Settings
+import flaxfield.settings.StateLimits
+import flaxfield.settings.WorkerTimes
+import flaxfield.store.Keys
+import flaxfield.codec.Wire as Cbor
+
+/** Three controllers against stand-ins, with up to [perZone] machines of each kind in each of two zones. */
+class SimCluster(
+    seed: Int,
+    perZone: Int = 3,
+    private val limits: StateLimits = StateLimits(150.0, 60.0, 4.0, 24),
+    val cancelS: Double = CANCEL_S,
+) {
+    val loop = SimLoop(seed)
+    val state = SimState(loop, limits)
+    private val most = 10.0 * perZone / 3
+    val rules = Rules(mapOf("red" to most), cancelS, LEASE_S)
+    val specs = HashMap<String, JobSpec>()
+    val names = listOf("n-0", "n-1", "n-2")
+    private val zones = listOf("a", "b", "a")
+    private val times = WorkerTimes(1.0, LEASE_S, 10.0, 3.0, cancelS)
+    private val runs = IntArray(3)
+    private val nodes = arrayOfNulls<Controller>(3)
+    val stateWire = List(3) { Wire(loop) }
+    val workerWire = List(3) { Wire(loop) }
+    private val cloudWire = List(3) { Wire(loop) }
+
+    /** A controller that its peers do not reach, nor it them. */
+    val peerCut = BooleanArray(3)
+
+    /** No controller connects to another, though all live. */
+    var peersRefuse = false
+
+    /** A zone that reaches nothing outside it, nor is reached: its workers and its controllers see one another only. */
+    var zoneCut: String? = null
+        set(value) {
+            field = value
+            for (i in names.indices) {
+                stateWire[i].cut = value == zones[i]
+                cloudWire[i].cut = value == zones[i]
+            }
+            if (value == null) {
+                val late = heldReports.toList()
+                heldReports.clear()
+                for ((k, send) in late.withIndex()) loop.after((k + 1L) * SimLoop.MS, send)
+            }
+        }
+    private val heldReports = ArrayList<() -> Unit>()
+
+    /** A controller that stands still while its clocks run on: what reaches it waits. */
+    private val frozen = arrayOfNulls<ArrayList<() -> Unit>>(3)
+
+    private fun apart(site: String, i: Int) = zoneCut != null && (site == zoneCut) != (zones[i] == zoneCut)
+
+    fun freeze(i: Int, forS: Double) {
+        if (frozen[i] != null) return
+        frozen[i] = ArrayList()
+        loop.after((forS * SimLoop.SECOND).toLong()) {
+            val late = frozen[i].orEmpty()
+            frozen[i] = null
+            for (run in late) run()
+        }
+    }
+
+    /** Runs [block] as the controller, or later if it stands still now. */
+    private fun awake(i: Int, block: () -> Unit) {
+        frozen[i]?.add(block) ?: block()
+    }
+
+    /** Whether connections that a cut hits are reset; else they hang until who asks gives up. */
+    var cutsReset = false
+
+    /** A controller that no worker reaches, nor it them; its peers and the state service do. */
+    val workersCut = BooleanArray(3)
+
+    /** Users ask at all nodes within milliseconds after each news. */
+    var closeLooks = false
+
+    /** How many times as often users ask; beside their own jobs they then ask for ones that nobody submitted. */
+    var storm = 1
+
+    /** Chance that a copy of a report arrives once more, much later, at any controller. */
+    var copies = 0.0
+
+    /** Chance that a copy of a report is kept and reaches every controller just as the next leader begins. */
+    var copiesForNext = 0.0
+    private val keptForNext = ArrayList<ByteArray>()
+
+    /** How many leaders there have been. */
+    var leaders = 0
+        private set
+
+    /** The controller that leads now, as the state service has it. */
+    val leader: Int get() = names.indexOf(state.text(Keys.LEADER, "name")).coerceAtLeast(0)
+
+    private var leaderStamp = 0L
+
+    /** To be called often: what was kept for the next leader is sent once there is one. */
+    fun noteLeader() {
+        val now = state.stamp(Keys.LEADER)
+        if (now == leaderStamp || now == 0L) return
+        leaderStamp = now
+        leaders++
+        val late = keptForNext.toList()
+        keptForNext.clear()
+        // Before it has written its assignment, and again once it has.
+        for (body in late) {
+            for (to in names.indices) {
+                for (ms in longArrayOf(1, 40, 400)) loop.after(ms * SimLoop.MS) { http(to, "POST", "/hello", body, 4_000, workerWire[to]) { } }
+            }
+        }
+    }
+    private val gangs = SimGangs()
+    val cloud: SimCloud = SimCloud(loop, mapOf("a" to perZone, "b" to perZone), lagS = 3.0) { place ->
+        SimWorker(loop, place, SimCloud.ROOM, rules, specs, gangs, SimTimes(1.0, LEASE_S, 10.0, 3.0), names) { node, body, done ->
+            hello(place.site, node, body, done)
+        }
+    }
+
+    private fun settings(i: Int) = Settings(
+        names[i], zones[i], Address("10.0.0.${i + 1}", 1), Address("10.0.0.${i + 1}", 2),
+        names.indices.filter { it != i }.map { Peer(names[it], Address("10.0.0.${it + 1}", 2)) },
+        Address("10.2.0.1", 1), Address("10.2.0.2", 1), 3,
+        listOf(Samples.team("red", gpus = 4.0, gpusMax = most), Samples.team("blue")).associateBy {
+            it.name
+        },
+        emptyList(), times, limits, 2.0, 3.0, 1000, zones = 2,
+    )
+
+    fun boot(i: Int) {
+        val run = ++runs[i]
+        val alive = { runs[i] == run && nodes[i] != null }
+        var self: Controller? = null
+        val post: (() -> Unit) -> Unit = { block ->
+            loop.after(1) {
+                awake(i) {
+                    if (alive()) {
+                        self?.handle(Command.Run(block))
+                        self?.turn()
+                    }
+                }
+            }
+        }
+        val outside = Outside(
+            stateWire[i].line(alive) { m, t, b, answer -> state.serve(i, m, t, b, answer) },
+            stateWire[i].line(alive) { m, t, b, answer -> state.serve(i, m, t, b, answer) },
+            cloudWire[i].apply {
+                late = 0.02
+                loseAnswer = 0.02
+            }.line(alive, cloud::serve),
+            { address -> workerWire[i].line(alive) { _, _, body, answer -> if (!workersCut[i]) direct(i, address, body, answer) } },
+            { address, onMessage -> PeerLine { m -> peer(i, address, m) { if (alive()) onMessage(it) } } },
+        )
+        val c = Controller(settings(i), OperatorSettings(), "run$run", loop, outside, MOST_DIRECT, post)
+        self = c
+        nodes[i] = c
+        c.start()
+        beat(i, run)
+    }
+
+    private fun beat(i: Int, run: Int) {
+        if (runs[i] != run) return
+        if (frozen[i] == null) nodes[i]?.turn()
+        loop.after(Controller.TICK_MS * SimLoop.MS) { beat(i, run) }
+    }
+
+    fun kill(i: Int, downS: Double) {
+        runs[i]++
+        nodes[i] = null
+        loop.after((downS * SimLoop.SECOND).toLong()) { if (nodes[i] == null) boot(i) }
+    }
+
+    private fun direct(from: Int, address: Address, body: ByteArray, answer: (Answer) -> Unit) {
+        val w = cloud.machines["host-%06d".format(address.port - 1)] ?: return
+        if (w.deaf || apart(w.place.site, from)) return
+        if (w.hangs) w.hold(Cbor.decode(body)) else answer(w.direct(Cbor.decode(body)))
+    }
+
+    private fun peer(from: Int, address: Address, m: PeerMessage, back: (PeerMessage) -> Unit) {
+        val to = address.host.substringAfterLast('.').toInt() - 1
+        loop.after(2 * SimLoop.MS) {
+            if (!workerWire[from].cut &&
+                !workerWire[to].cut &&
+                !peerCut[from] &&
+                !peerCut[to] &&
+                !peersRefuse &&
+                !apart(zones[from], to)
+            ) {
+                awake(to) { nodes[to]?.handle(Command.Peer(m) { r -> loop.after(2 * SimLoop.MS) { back(r) } }) }
+            }
+        }
+    }
+
+    private fun hello(site: String, node: String, body: ByteArray, done: (Answer?) -> Unit) {
+        val to = names.indexOf(node)
+        if (apart(site, to)) {
+            // The cut holds the packets: the report arrives with the heal, long after the worker has given up.
+            heldReports += { http(to, "POST", "/hello", body, 4_000, workerWire[to]) { } }
+            return loop.after(4 * SimLoop.SECOND) { done(null) }
+        }
+        if (workersCut[to]) return loop.after(if (cutsReset) SimLoop.MS else 4 * SimLoop.SECOND) { done(null) }
+        http(names.indexOf(node), "POST", "/hello", body, 4_000, workerWire[names.indexOf(node)], done)
+        if (loop.random.nextDouble() < copies) {
+            val late = loop.random.nextLong(2 * SimLoop.SECOND, 20 * SimLoop.SECOND)
+            val to = loop.random.nextInt(3)
+            loop.after(late) { http(to, "POST", "/hello", body, 4_000, workerWire[to]) { } }
+        }
+        if (loop.random.nextDouble() < copiesForNext && keptForNext.size < MOST_KEPT) keptForNext += body
+    }
+
+    fun user(i: Int, method: String, path: String, body: ByteArray, done: (Answer?) -> Unit) =
+        http(i, method, path, body, 2_000, Wire(loop).apply { cut = zoneCut == zones[i] }, done)
+
+    private fun http(i: Int, method: String, path: String, body: ByteArray, timeoutMs: Long, wire: Wire, done: (Answer?) -> Unit) {
+        val sentNs = loop.nowNs
+        val line = wire.line({ true }) { m, p, b, answer ->
+            awake(i) {
+                var answers = 0
+                nodes[i]?.apply {
+                    handle(
+                        Command.Http(
+                            // What its sender has given up on is dropped, as when its connection has gone.
+                            Request(m, p, "", b, { loop.nowNs - sentNs < timeoutMs * SimLoop.MS }) { status, out, _ ->
+                                // On a kept connection a second answer would be taken for the next request's.
+                                if (++answers > 1) rules.broken += "$m $p answered $answers times, at ${loop.nowS}"
+                                answer(Answer(status, out.bytes))
+                            },
+                        ),
+                    )
+                    turn()
+                }
+            }
+        }
+        line.send(method, path, body, timeoutMs, done)
+    }
+
+    /** Checks what is checked all the time, until the end of the day. */
+    fun watch(troublesOverS: Double) {
+        state.expire()
+        cloud.note()
+        noteLeader()
+        rules.check(loop.nowS)
+        if (loop.nowS > troublesOverS) {
+            rules.checkKnown(loop.nowS)
+            rules.checkWaiting(loop.nowS, cloud.seats())
+        }
+        loop.after(200 * SimLoop.MS) { watch(troublesOverS) }
+    }
+
+    /** A job that a user will submit. */
+    fun job(spec: JobSpec): JobSpec {
+        specs[spec.id] = spec
+        rules.submitted(spec)
+        return spec
+    }
+
+    companion object {
+        const val CANCEL_S = 20.0
+        const val LEASE_S = 6.0
+        private const val MOST_DIRECT = 16
+        private const val MOST_KEPT = 200
+    }
+}
--- a/src/test/kotlin/flaxfield/workers/OrdersTest.kt
+++ b/src/test/kotlin/flaxfield/workers/OrdersTest.kt
@@ -126,4 +126,39 @@
             },
         )
     }
+
+    @Test
+    fun `what is cancelled is halted also where nothing may be decided`() {
+        val halt = Order.Halt("job-1", 0, 1uL, 0.0)
+        fun records(job: Job) = job.allPlaced().map { OnHost(job, it) }.toList()
+        val table = listOf<Triple<String, List<Order>, List<Order>>>(
+            Triple("cancelled", Orders.cancelled(report(running), records(cancelled)), listOf(halt)),
+            Triple("under any epoch", Orders.cancelled(report(running, epoch = 3uL), records(cancelled)), listOf(halt)),
+            Triple("not cancelled", Orders.cancelled(report(running), records(job)), emptyList()),
+            Triple("told to stop: a decision", Orders.cancelled(report(running), records(stopping)), emptyList()),
+            Triple("ended", Orders.cancelled(report(task(TaskState.ENDED, EndCause.STOPPED)), records(cancelled)), emptyList()),
+            Triple("another attempt", Orders.cancelled(report(task(TaskState.RUNNING, attempt = 9uL)), records(cancelled)), emptyList()),
+            Triple("not there", Orders.cancelled(report(), records(cancelled)), emptyList()),
+        )
+        for ((what, got, want) in table) assertEquals(want, got, what)
+    }
+
+    @Test
+    fun `a direct halt goes by the report, or by the record where the worker is quiet`() {
+        val halt = Order.Halt("job-1", 0, 1uL, 0.0)
+        fun now(job: Job, report: Report?, quiet: Boolean, mayStop: Boolean = true) =
+            Orders.haltsNow(job.allPlaced().map { OnHost(job, it) }.toList(), report, quiet, mayStop)
+        val table = listOf(
+            Triple("shown", now(cancelled, report(running), quiet = false), listOf(halt)),
+            Triple("not shown by a worker that reports: its next report tells", now(cancelled, report(), quiet = false), emptyList()),
+            Triple("not shown by a quiet one", now(cancelled, report(), quiet = true), listOf(halt)),
+            Triple("never reported to us", now(cancelled, null, quiet = true), listOf(halt)),
+            Triple("ended", now(cancelled, report(task(TaskState.ENDED, EndCause.DONE)), quiet = true), emptyList()),
+            Triple("told to stop", now(stopping, report(running), quiet = false), listOf(Order.Halt("job-1", 0, 1uL, 3.0))),
+            Triple("told to stop, our lease is over", now(stopping, report(running), quiet = false, mayStop = false), emptyList()),
+            Triple("told to stop, by record", now(stopping, null, quiet = true), emptyList()),
+            Triple("to go on", now(job, report(running), quiet = true), emptyList()),
+        )
+        for ((what, got, want) in table) assertEquals(want, got, what)
+    }
 }
