--- a/src/main/kotlin/flaxfield/arrays/ArrayDesk.kt
+++ b/src/main/kotlin/flaxfield/arrays/ArrayScheduler.kt
@@ -5,30 +5,30 @@
 import flaxfield.fleet.MachinePhase
 import flaxfield.jobs.Job
 import flaxfield.jobs.Room
-import flaxfield.jobs.Settlement
+import flaxfield.jobs.TaskCompletion
 import flaxfield.jobs.Validation
-import flaxfield.node.Hub
+import flaxfield.node.NodeContext
 import flaxfield.quota.JobOrder
 import flaxfield.quota.TeamUse
 import flaxfield.store.Cause
 import flaxfield.store.Change
-import flaxfield.store.Keys
+import flaxfield.store.StoreKeys
 import flaxfield.store.Outcome
 import flaxfield.store.Txn
-import flaxfield.workers.HostWatch
+import flaxfield.workers.WorkerHealth
 import flaxfield.workers.Orders
-import flaxfield.workers.StopDesk
+import flaxfield.workers.HaltDispatcher
 import org.slf4j.LoggerFactory
 
 /** This node's part: places arrays on its own machines, after their room has been told and claimed ones cleared. */
-class ArrayDesk(private val hub: Hub, private val hosts: HostWatch, stops: StopDesk) {
-    private val summaries = SummaryDesk(hub, hosts)
-    private val clearing = ClearDesk(hub, stops)
+class ArrayScheduler(private val hub: NodeContext, private val hosts: WorkerHealth, stops: HaltDispatcher) {
+    private val summaries = RoomSummaryPublisher(hub, hosts)
+    private val clearing = MachineDrainer(hub, stops)
 
     /** A placement of ours that the view does not show yet: the keys it changes, and the room that it takes. */
-    private class Flying(val keys: List<String>, val taken: List<Pair<String, Room>>)
+    private class InFlightPlacement(val keys: List<String>, val taken: List<Pair<String, Room>>)
 
-    private val flying = HashMap<String, Flying>()
+    private val flying = HashMap<String, InFlightPlacement>()
 
     /** When a job that waits was first seen to do so, by id. */
     private val waitingSinceNs = HashMap<String, Long>()
@@ -52,7 +52,7 @@
                 it.pendingCount > 0 &&
                 it.retryAtMs <= hub.nowMs &&
                 it.id !in flying &&
-                !hub.isBusy(Keys.JOB + it.id)
+                !hub.isBusy(StoreKeys.JOB + it.id)
         }
         waitingSinceNs.keys.retainAll(waiting.mapTo(HashSet()) { it.id })
         if (waiting.isEmpty()) return
@@ -139,11 +139,11 @@
         val found = ArrayRound.place(job, seats, ZoneRule(job.spec, emptyList()), 0, ArrayRound.Limits(most))
         if (found.size < job.spec.shards) return null
         val next = job.place(found.mapValues { (_, s) -> Job.Host(s.machine.name, s.tenure) })
-        flying[job.id] = Flying(listOf(Keys.JOB + job.id), found.values.map { it.machine.name to job.spec.need })
-        return Begun(next, Settlement.write(job, next, term).conditions + stamps(found.values))
+        flying[job.id] = InFlightPlacement(listOf(StoreKeys.JOB + job.id), found.values.map { it.machine.name to job.spec.need })
+        return Begun(next, TaskCompletion.write(job, next, term).conditions + stamps(found.values))
     }
 
-    private fun stamps(seats: Collection<Seat>) = seats.distinct().associate { Keys.HOST + it.machine.name to it.machine.stamp }
+    private fun stamps(seats: Collection<Seat>) = seats.distinct().associate { StoreKeys.HOST + it.machine.name to it.machine.stamp }
 
     private var spoken: Set<String> = emptySet()
     private var nextSpokenNs = 0L
@@ -198,13 +198,13 @@
 
     private fun open(m: Machine): Boolean = m.phase == MachinePhase.UP &&
         hub.world.claimOn(m) == null &&
-        !hub.isBusy(Keys.HOST + m.name) &&
+        !hub.isBusy(StoreKeys.HOST + m.name) &&
         hosts.state(m.name) == HostState.OK
 
     /** Sends a placement of what fits now; how many tasks it is of. */
     private fun placeJob(job: Job, seats: List<Seat>, use: TeamUse, term: ULong): Int {
         val team = hub.settings.teams[job.spec.owner] ?: return 0
-        val fenceKey = Keys.TEAM + team.name
+        val fenceKey = StoreKeys.TEAM + team.name
         if (team.limited && hub.isBusy(fenceKey)) return 0
         val sites = if (job.spec.samePlace || job.spec.scatter) {
             job.allPlaced().map { hub.world.machines[it.host]?.site.orEmpty() }.toList()
@@ -213,17 +213,17 @@
         }
         val width = if (job.suspect) PROBES else ShortTasks.width(job.spec, readyS(job), hub.settings.workers.reportS)
         val most = minOf(hub.allows(job, use), MOST_PER_JOB, width - job.placedCount)
-        val limits = ArrayRound.Limits(most, MOST_HOSTS, Settlement.chunksAtOnce(hub.settings.stateLimits))
-        val found = ArrayRound.place(job, seats, ZoneRule(job.spec, sites), offset(job), limits) { !hub.isBusy(Keys.chunk(job.id, it)) }
+        val limits = ArrayRound.Limits(most, MOST_HOSTS, TaskCompletion.chunksAtOnce(hub.settings.stateLimits))
+        val found = ArrayRound.place(job, seats, ZoneRule(job.spec, sites), offset(job), limits) { !hub.isBusy(StoreKeys.chunk(job.id, it)) }
         if (found.isEmpty()) return 0
         use.add(team.name, job.spec.need * found.size)
-        val cause = if (found.size >= minOf(Settlement.FEW, job.pendingCount)) Cause.ARRAY else Cause.TRICKLE
+        val cause = if (found.size >= minOf(TaskCompletion.FEW, job.pendingCount)) Cause.ARRAY else Cause.TRICKLE
         if (!hub.maySpend(cause, if (team.limited) 2 else 1)) {
             log.debug("job={} placement waits for the write budget", job.id)
             return found.size
         }
         val next = job.place(found.mapValues { (_, s) -> Job.Host(s.machine.name, s.tenure) })
-        val base = Settlement.write(job, next, term)
+        val base = TaskCompletion.write(job, next, term)
         val hosts = stamps(found.values)
         val fence = if (team.limited) mapOf(fenceKey to hub.world.stamp(fenceKey)) else emptyMap()
         val bump = if (team.limited) listOf(Change.Put(fenceKey, mapOf("job" to job.id))) else emptyList()
@@ -236,7 +236,7 @@
                 log.debug("job={} placement outcome={}", job.id, outcome)
             }
         }
-        if (sent) flying[job.id] = Flying(base.changes.map { it.key }, found.values.map { it.machine.name to job.spec.need })
+        if (sent) flying[job.id] = InFlightPlacement(base.changes.map { it.key }, found.values.map { it.machine.name to job.spec.need })
         return found.size
     }
 
--- a/src/main/kotlin/flaxfield/arrays/ClearDesk.kt
+++ b/src/main/kotlin/flaxfield/arrays/MachineDrainer.kt
@@ -1,12 +1,12 @@
 package flaxfield.arrays
 
 import flaxfield.fleet.MachinePhase
-import flaxfield.node.Hub
+import flaxfield.node.NodeContext
 import flaxfield.quota.JobOrder
-import flaxfield.workers.StopDesk
+import flaxfield.workers.HaltDispatcher
 
 /** Clears machines of this node's part: those that are to be returned, and those claimed for more urgent gangs. */
-class ClearDesk(private val hub: Hub, private val stops: StopDesk) {
+class MachineDrainer(private val hub: NodeContext, private val stops: HaltDispatcher) {
     fun run(term: ULong) {
         drain(term)
         evict(term)
--- a/src/main/kotlin/flaxfield/arrays/Placement.kt
+++ b/src/main/kotlin/flaxfield/arrays/Placement.kt
@@ -1,6 +1,6 @@
 package flaxfield.arrays
 
-import flaxfield.fleet.Flavor
+import flaxfield.fleet.MachineType
 import flaxfield.fleet.Machine
 import flaxfield.jobs.Job
 import flaxfield.jobs.JobSpec
@@ -61,7 +61,7 @@
     private var tasksWaiting: Map<String, Int> = emptyMap()
 
     /** Notes the jobs in the view; what they asked for stays reserved for [keepMs]. */
-    fun note(jobs: Collection<Job>, flavors: Collection<Flavor>, nowMs: Long, keepMs: Long) {
+    fun note(jobs: Collection<Job>, flavors: Collection<MachineType>, nowMs: Long, keepMs: Long) {
         for (j in jobs) {
             if (j.spec.lendable) continue
             for (f in flavors) if (Validation.allowed(j.spec, f)) untilMs[f.label] = nowMs + keepMs
--- a/src/main/kotlin/flaxfield/arrays/SummaryDesk.kt
+++ b/src/main/kotlin/flaxfield/arrays/RoomSummaryPublisher.kt
@@ -1,16 +1,16 @@
 package flaxfield.arrays
 
-import flaxfield.jobs.Settlement
-import flaxfield.node.Hub
+import flaxfield.jobs.TaskCompletion
+import flaxfield.node.NodeContext
 import flaxfield.store.Cause
 import flaxfield.store.Change
-import flaxfield.store.Keys
+import flaxfield.store.StoreKeys
 import flaxfield.store.Outcome
 import flaxfield.store.Txn
-import flaxfield.workers.HostWatch
+import flaxfield.workers.WorkerHealth
 
 /** Tells the leader how the machines of this node's part stand. */
-class SummaryDesk(private val hub: Hub, private val hosts: HostWatch) {
+class RoomSummaryPublisher(private val hub: NodeContext, private val hosts: WorkerHealth) {
     private var pages = 1
     private var pagesTerm: ULong? = null
     private val sent = HashMap<Int, RoomSummary>()
@@ -44,9 +44,9 @@
         b.hosts.all { (name, room) -> a.hosts[name]?.let { it.state == room.state && it.tenure == room.tenure } ?: false }
 
     private fun write(page: Int, now: RoomSummary, pressing: Boolean) {
-        val key = Keys.room(hub.me.name, page)
+        val key = StoreKeys.room(hub.me.name, page)
         if (hub.isBusy(key)) return
-        val conditions = Settlement.fence(hub) + (key to hub.world.stamp(key))
+        val conditions = TaskCompletion.fence(hub) + (key to hub.world.stamp(key))
         val cause = if (pressing) Cause.FLEET else Cause.ROOM
         val written = hub.commit(cause, Txn(conditions, listOf(Change.Put(key, RoomCodec.encode(now))))) {
             if (it !is Outcome.Committed) sent.remove(page)
--- a/src/main/kotlin/flaxfield/fleet/FleetDemand.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetDemand.kt
@@ -5,11 +5,11 @@
 import flaxfield.jobs.Job
 import flaxfield.jobs.JobSpec
 import flaxfield.jobs.Validation
-import flaxfield.node.Hub
+import flaxfield.node.NodeContext
 import flaxfield.quota.JobOrder
 
 /** What the fleet is to hold: the tasks that wait, in their order, and spares for those to come. */
-class FleetDemand(private val hub: Hub) {
+class FleetDemand(private val hub: NodeContext) {
     /** When jobs of a class came, for the spare machines; filled from the view. */
     private val arrivals = HashMap<String, ArrayDeque<Job>>()
     private val counted = HashSet<String>()
--- a/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetReconciler.kt
@@ -3,19 +3,19 @@
 import flaxfield.arrays.HostState
 import flaxfield.jobs.Job
 import flaxfield.jobs.Room
-import flaxfield.jobs.Settlement
-import flaxfield.node.Hub
+import flaxfield.jobs.TaskCompletion
+import flaxfield.node.NodeContext
 import flaxfield.store.Cause
 import flaxfield.store.Change
-import flaxfield.store.Keys
+import flaxfield.store.StoreKeys
 import flaxfield.store.Txn
 import org.slf4j.LoggerFactory
 
-/** The leader's dealings with the cloud: types, what to rent and what to give up; returns are [ReturnDesk]'s. */
-class FleetDesk(private val hub: Hub, private val cloud: CloudClient, settlement: Settlement) {
+/** The leader's dealings with the cloud: types, what to rent and what to give up; returns are [MachineReturner]'s. */
+class FleetReconciler(private val hub: NodeContext, private val cloud: CloudClient, settlement: TaskCompletion) {
     private val rate = CloudRate(hub.settings.cloudRps)
     private val demand = FleetDemand(hub)
-    private val returns = ReturnDesk(hub, cloud, rate, settlement)
+    private val returns = MachineReturner(hub, cloud, rate, settlement)
 
     private class Refusal(val untilNs: Long, val times: Int)
 
@@ -69,7 +69,7 @@
     }
 
     private fun askFlavors() {
-        if (flavorsOpen || hub.nowNs < nextFlavorsNs || hub.isBusy(Keys.TYPES)) return
+        if (flavorsOpen || hub.nowNs < nextFlavorsNs || hub.isBusy(StoreKeys.TYPES)) return
         if (hub.world.flavors.isNotEmpty() && hub.nowMs - hub.world.flavorsAtMs < FLAVORS_S * MS) return
         if (!rate.allows(hub.nowNs)) return
         flavorsOpen = true
@@ -80,8 +80,8 @@
                 // types no user is served. What the view has is asked for again only when it is old.
                 nextFlavorsNs = hub.nowNs + (hub.settings.workers.reportS / 2 * NS).toLong()
                 if (got != null && hub.leads()) {
-                    val conditions = Settlement.fence(hub) + (Keys.TYPES to hub.world.stamp(Keys.TYPES))
-                    val put = Change.Put(Keys.TYPES, FleetCodec.encodeFlavors(got.values, hub.nowMs))
+                    val conditions = TaskCompletion.fence(hub) + (StoreKeys.TYPES to hub.world.stamp(StoreKeys.TYPES))
+                    val put = Change.Put(StoreKeys.TYPES, FleetCodec.encodeFlavors(got.values, hub.nowMs))
                     hub.commit(Cause.FLEET, Txn(conditions, listOf(put)))
                 }
             }
@@ -93,7 +93,7 @@
         asking.keys.retainAll(hub.world.hires.keys)
         granted.keys.retainAll(hub.world.hires.keys)
         for (h in hub.world.hires.values.toList()) {
-            if (hub.isBusy(Keys.HIRE + h.name)) continue
+            if (hub.isBusy(StoreKeys.HIRE + h.name)) continue
             if (h.name in granted) {
                 record(h)
                 continue
@@ -105,7 +105,7 @@
         }
     }
 
-    private fun rented(h: Hire, r: Rented) {
+    private fun rented(h: Rental, r: Rented) {
         log.info("hire={} flavor={} site={} lendable={} count={} answer={}", h.name, h.flavor, h.site, h.lendable, h.count, r)
         asking[h.name] = hub.nowNs + (hub.settings.workers.reportS / 2 * NS).toLong()
         val offer = Offer(h.flavor, h.site, h.lendable)
@@ -123,19 +123,19 @@
      * Writes down the machines of an answered hire, some at a time. A rental of more than one transaction
      * takes was written in part, and its hire stood for ever as machines still to come.
      */
-    private fun record(h: Hire) {
+    private fun record(h: Rental) {
         val names = granted[h.name].orEmpty()
-        if (names.any { hub.isBusy(Keys.HOST + it) }) return
+        if (names.any { hub.isBusy(StoreKeys.HOST + it) }) return
         val left = names.filter { it !in hub.world.machines }
         // The hire is dropped with the last of its hosts, so that none is forgotten in between.
         val room = hub.budget.bulk(hub.settings.stateLimits.txnOps - 1)
         val some = left.take(room)
         val changes = some.map {
             val m = Machine(it, h.flavor, h.site, h.lendable, MachinePhase.UP, hub.nowMs, null, 0uL)
-            Change.Put(Keys.HOST + it, FleetCodec.encode(m))
+            Change.Put(StoreKeys.HOST + it, FleetCodec.encode(m))
         }
-        val last = if (left.size <= room) listOf(Change.Drop(Keys.HIRE + h.name)) else emptyList()
-        val conditions = Settlement.fence(hub) + (Keys.HIRE + h.name to h.stamp) + some.associate { Keys.HOST + it to 0uL }
+        val last = if (left.size <= room) listOf(Change.Drop(StoreKeys.HIRE + h.name)) else emptyList()
+        val conditions = TaskCompletion.fence(hub) + (StoreKeys.HIRE + h.name to h.stamp) + some.associate { StoreKeys.HOST + it to 0uL }
         hub.commit(Cause.FLEET, Txn(conditions, changes + last))
     }
 
@@ -149,9 +149,9 @@
         val w = hub.world
         val changes = ArrayList<Change>()
         val reasons = ArrayList<Triple<Machine, MachinePhase, String>>()
-        val conditions = HashMap(Settlement.fence(hub))
+        val conditions = HashMap(TaskCompletion.fence(hub))
         val due = w.machines.values.mapNotNull { m ->
-            if (m.phase == MachinePhase.RETIRING || hub.isBusy(Keys.HOST + m.name)) return@mapNotNull null
+            if (m.phase == MachinePhase.RETIRING || hub.isBusy(StoreKeys.HOST + m.name)) return@mapNotNull null
             val why = reasonToRetire(m) ?: return@mapNotNull null
             val phase = if (why == SURPLUS) MachinePhase.DRAINING else MachinePhase.RETIRING
             if (phase == m.phase) null else Triple(m, phase, why)
@@ -159,8 +159,8 @@
         // Tasks wait for the return of the machines that they are on: behind a thousand idle ones they did for minutes.
         for ((m, phase, why) in due.sortedBy { w.isEmpty(it.first.name) }) {
             if (changes.size >= hub.budget.bulk(hub.settings.stateLimits.txnOps)) break
-            conditions[Keys.HOST + m.name] = m.stamp
-            changes += Change.Put(Keys.HOST + m.name, FleetCodec.encode(m.copy(phase = phase, claim = null)))
+            conditions[StoreKeys.HOST + m.name] = m.stamp
+            changes += Change.Put(StoreKeys.HOST + m.name, FleetCodec.encode(m.copy(phase = phase, claim = null)))
             reasons += Triple(m, phase, why)
         }
         if (changes.isEmpty() || !hub.commit(Cause.FLEET, Txn(conditions, changes))) return
@@ -200,7 +200,7 @@
     }
 
     /** How a machine that does not report stands; one that reported to an earlier owner is only being looked for. */
-    private fun boot(m: Machine, flavor: Flavor): Boot = if (cameUp(m)) {
+    private fun boot(m: Machine, flavor: MachineType): Boot = if (cameUp(m)) {
         Boot.COMING
     } else {
         Boot.of((hub.nowMs - m.sinceMs) / MS, flavor.readyS, (lastUpMs[m.flavor] ?: 0L) >= m.sinceMs)
@@ -286,9 +286,9 @@
     }
 
     private fun hire(offer: Offer, n: Int) {
-        val h = Hire("${hub.me.name}-${hub.me.incarnation}-${++hireCount}", offer.flavor, offer.site, offer.lendable, n, hub.nowMs, 0uL)
-        val conditions = Settlement.fence(hub) + (Keys.HIRE + h.name to 0uL)
-        val sent = hub.commit(Cause.FLEET, Txn(conditions, listOf(Change.Put(Keys.HIRE + h.name, FleetCodec.encode(h)))))
+        val h = Rental("${hub.me.name}-${hub.me.incarnation}-${++hireCount}", offer.flavor, offer.site, offer.lendable, n, hub.nowMs, 0uL)
+        val conditions = TaskCompletion.fence(hub) + (StoreKeys.HIRE + h.name to 0uL)
+        val sent = hub.commit(Cause.FLEET, Txn(conditions, listOf(Change.Put(StoreKeys.HIRE + h.name, FleetCodec.encode(h)))))
         if (sent) {
             log.info(
                 "hire={} flavor={} site={} lendable={} count={} term={} wanted",
--- a/src/main/kotlin/flaxfield/fleet/FleetRules.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetRules.kt
@@ -45,7 +45,7 @@
     fun pack(
         demands: List<Demand>,
         bins: List<Bin>,
-        flavors: Map<String, Flavor>,
+        flavors: Map<String, MachineType>,
         mostNew: Int,
         suits: Suits,
         load: Load = Load { _, _ -> 0.0 },
@@ -169,7 +169,7 @@
     private fun best(
         demand: Demand,
         tasks: Int,
-        flavors: Map<String, Flavor>,
+        flavors: Map<String, MachineType>,
         rule: ZoneRule,
         suits: Suits,
         load: (String) -> Double,
--- a/src/main/kotlin/flaxfield/fleet/Machine.kt
+++ b/src/main/kotlin/flaxfield/fleet/Machine.kt
@@ -2,10 +2,10 @@
 
 import flaxfield.codec.Obj
 import flaxfield.jobs.Room
-import flaxfield.store.Keys
+import flaxfield.store.StoreKeys
 
 /** A machine type as the cloud offers it. */
-data class Flavor(
+data class MachineType(
     val label: String,
     val room: Room,
     val cacheGb: Double,
@@ -45,7 +45,7 @@
 )
 
 /** A rental written down before it is asked for, so that a new leader can ask again under the same name. */
-data class Hire(
+data class Rental(
     val name: String,
     val flavor: String,
     val site: String,
@@ -68,7 +68,7 @@
     )
 
     fun machine(o: Obj, key: String, stamp: ULong) = Machine(
-        key.removePrefix(Keys.HOST),
+        key.removePrefix(StoreKeys.HOST),
         o.needText("flavor"),
         o.needText("site"),
         o.needFlag("lendable"),
@@ -86,7 +86,7 @@
         stamp,
     )
 
-    fun encode(h: Hire): Map<String, Any?> = mapOf(
+    fun encode(h: Rental): Map<String, Any?> = mapOf(
         "flavor" to h.flavor,
         "site" to h.site,
         "lendable" to h.lendable,
@@ -94,8 +94,8 @@
         "at" to h.sinceMs,
     )
 
-    fun hire(o: Obj, key: String, stamp: ULong) = Hire(
-        key.removePrefix(Keys.HIRE),
+    fun hire(o: Obj, key: String, stamp: ULong) = Rental(
+        key.removePrefix(StoreKeys.HIRE),
         o.needText("flavor"),
         o.needText("site"),
         o.needFlag("lendable"),
@@ -104,7 +104,7 @@
         stamp,
     )
 
-    fun encodeFlavors(all: Collection<Flavor>, atMs: Long): Map<String, Any?> = mapOf(
+    fun encodeFlavors(all: Collection<MachineType>, atMs: Long): Map<String, Any?> = mapOf(
         "at" to atMs,
         "flavors" to all.map {
             mapOf(
@@ -116,8 +116,8 @@
     )
 
     /** Reads the cloud's answer, or our own copy of it: both have the same shape. */
-    fun flavors(o: Obj): Map<String, Flavor> = o.objs("flavors").map {
-        Flavor(
+    fun flavors(o: Obj): Map<String, MachineType> = o.objs("flavors").map {
+        MachineType(
             it.needText("label"),
             Room(it.needNumber("vcpus"), it.needNumber("accelerators"), it.needNumber("ram_gb")),
             it.number("local_gb") ?: 0.0,
--- a/src/main/kotlin/flaxfield/fleet/ReturnDesk.kt
+++ b/src/main/kotlin/flaxfield/fleet/MachineReturner.kt
@@ -1,20 +1,20 @@
 package flaxfield.fleet
 
-import flaxfield.jobs.Settlement
+import flaxfield.jobs.TaskCompletion
 import flaxfield.jobs.TaskEvent
-import flaxfield.node.Hub
+import flaxfield.node.NodeContext
 import flaxfield.store.Cause
 import flaxfield.store.Change
-import flaxfield.store.Keys
+import flaxfield.store.StoreKeys
 import flaxfield.store.Txn
 import org.slf4j.LoggerFactory
 
 /** The leader's returns, and the cloud's list, which tells of machines that have stopped or that nobody knows. */
-class ReturnDesk(private val hub: Hub, private val cloud: CloudClient, private val rate: CloudRate, private val settlement: Settlement) {
+class MachineReturner(private val hub: NodeContext, private val cloud: CloudClient, private val rate: CloudRate, private val settlement: TaskCompletion) {
     private var listOpen = false
     private var nextListNs = 0L
     private var returnOpen = false
-    private val strangers = Strangers()
+    private val strangers = UnknownMachines()
     private val failed = HashSet<String>()
 
     /** Machines whose return was answered: gone for good, while their records still stand. */
@@ -74,7 +74,7 @@
         val unknown = strangers.due(hub.world.machines.keys, hub.nowNs - limit)
         // Those with tasks first: these go on elsewhere only on the answer.
         val retiring = hub.world.machines.values
-            .filter { it.phase == MachinePhase.RETIRING && it.name !in gone && !hub.isBusy(Keys.HOST + it.name) }
+            .filter { it.phase == MachinePhase.RETIRING && it.name !in gone && !hub.isBusy(StoreKeys.HOST + it.name) }
             .map { it.name }
             .sortedBy { hub.world.isEmpty(it) }
         val names = (retiring + unknown).take(MOST_RETURNED)
@@ -113,10 +113,10 @@
         if (gone.isEmpty()) return
         val w = hub.world
         gone.retainAll(w.machines.keys)
-        val empty = gone.mapNotNull { w.machines[it] }.filter { w.isEmpty(it.name) && !hub.isBusy(Keys.HOST + it.name) }
+        val empty = gone.mapNotNull { w.machines[it] }.filter { w.isEmpty(it.name) && !hub.isBusy(StoreKeys.HOST + it.name) }
         for (some in empty.chunked(hub.budget.bulk(hub.settings.stateLimits.txnOps))) {
-            val conditions = Settlement.fence(hub) + some.associate { Keys.HOST + it.name to it.stamp }
-            if (!hub.commit(Cause.FLEET, Txn(conditions, some.map { Change.Drop(Keys.HOST + it.name) }))) return
+            val conditions = TaskCompletion.fence(hub) + some.associate { StoreKeys.HOST + it.name to it.stamp }
+            if (!hub.commit(Cause.FLEET, Txn(conditions, some.map { Change.Drop(StoreKeys.HOST + it.name) }))) return
         }
     }
 
--- a/src/main/kotlin/flaxfield/fleet/Strangers.kt
+++ b/src/main/kotlin/flaxfield/fleet/UnknownMachines.kt
@@ -4,7 +4,7 @@
  * Machines that the cloud lists and nobody knows: rented by a request that was given up on, or by a process that is dead.
  * Known ones are in records; a machine may be taken in at any time between two lists.
  */
-class Strangers {
+class UnknownMachines {
     private val sinceNs = HashMap<String, Long>()
 
     /** Notes what a list tells. */
--- a/src/main/kotlin/flaxfield/gangs/GangDesk.kt
+++ b/src/main/kotlin/flaxfield/gangs/GangScheduler.kt
@@ -11,20 +11,20 @@
 import flaxfield.jobs.Job
 import flaxfield.jobs.JobSpec
 import flaxfield.jobs.Room
-import flaxfield.jobs.Settlement
+import flaxfield.jobs.TaskCompletion
 import flaxfield.jobs.Urgency
-import flaxfield.node.Hub
+import flaxfield.node.NodeContext
 import flaxfield.quota.JobOrder
 import flaxfield.quota.TeamUse
 import flaxfield.store.Cause
 import flaxfield.store.Change
-import flaxfield.store.Keys
+import flaxfield.store.StoreKeys
 import flaxfield.store.Outcome
 import flaxfield.store.Txn
 import org.slf4j.LoggerFactory
 
 /** The leader's gangs: gate, round, claims, one commit. */
-class GangDesk(private val hub: Hub) {
+class GangScheduler(private val hub: NodeContext) {
     private class Parked(val untilNs: Long, val times: Int)
 
     private val parked = HashMap<String, Parked>()
@@ -54,7 +54,7 @@
         val use = hub.use()
         val guaranteed = hub.guaranteed()
         for ((id, machines) in claims) claimed(id, machines, use, term)
-        claiming.values.removeIf { hosts -> hosts.none { hub.isBusy(Keys.HOST + it) } }
+        claiming.values.removeIf { hosts -> hosts.none { hub.isBusy(StoreKeys.HOST + it) } }
         // Without a change left for claims, a hundred gangs were gone through at each turn in vain.
         if (!hub.maySpend(Cause.GANG, 1)) return
         val waiting = gangs.filter {
@@ -64,7 +64,7 @@
                 it.retryAtMs <= hub.nowMs &&
                 it.id !in claims &&
                 it.id !in claiming &&
-                !hub.isBusy(Keys.JOB + it.id) &&
+                !hub.isBusy(StoreKeys.JOB + it.id) &&
                 GangRound.gate(it)
         }
         parked.keys.retainAll(waiting.mapTo(HashSet()) { it.id })
@@ -174,7 +174,7 @@
     private fun mayEmpty(host: String) = hub.world.jobsOn(host).any { !it.isGang || it.cancelled || it.id in hub.world.halting }
 
     private fun seat(m: Machine): Seat? {
-        if (m.phase != MachinePhase.UP || hub.world.claimOn(m) != null || hub.isBusy(Keys.HOST + m.name)) return null
+        if (m.phase != MachinePhase.UP || hub.world.claimOn(m) != null || hub.isBusy(StoreKeys.HOST + m.name)) return null
         val room = hub.world.hostRoom(m.name)?.takeIf { it.state == HostState.OK } ?: return null
         return seat(m, room)
     }
@@ -235,10 +235,10 @@
         val term = look.term
         val perHost = seats.values.groupingBy { it.machine }.eachCount()
         if (perHost.size > hub.settings.stateLimits.txnOps) return park(job, "more machines than one transaction takes")
-        val conditions = HashMap(Settlement.fence(hub))
+        val conditions = HashMap(TaskCompletion.fence(hub))
         val changes = perHost.map { (m, n) ->
-            conditions[Keys.HOST + m.name] = m.stamp
-            Change.Put(Keys.HOST + m.name, FleetCodec.encode(m.copy(claim = Claim(job.id, term, n, evict, job.nextGangAttempt()))))
+            conditions[StoreKeys.HOST + m.name] = m.stamp
+            Change.Put(StoreKeys.HOST + m.name, FleetCodec.encode(m.copy(claim = Claim(job.id, term, n, evict, job.nextGangAttempt()))))
         }
         val sent = hub.commit(Cause.GANG, Txn(conditions, changes)) { outcome ->
             log.info("job={} term={} claims={} evict={} outcome={}", job.id, term, perHost.keys.map { it.name }, evict, outcome)
@@ -254,7 +254,7 @@
 
     /** A gang whose claims are in the view: its real room decides. */
     private fun claimed(id: String, machines: List<Machine>, use: TeamUse, term: ULong) {
-        if (machines.any { hub.isBusy(Keys.HOST + it.name) } || hub.isBusy(Keys.JOB + id)) return
+        if (machines.any { hub.isBusy(StoreKeys.HOST + it.name) } || hub.isBusy(StoreKeys.JOB + id)) return
         val job = hub.world.jobs[id]
         if (job == null || !hub.maySpend(Cause.GANG, 1)) return
         val since = claimedSince.getOrPut(id) { hub.nowNs }
@@ -277,16 +277,16 @@
             release(job.id, machines, "the team's limit")
             return park(job, "the team's limit")
         }
-        val fenceKey = Keys.TEAM + team.name
+        val fenceKey = StoreKeys.TEAM + team.name
         if (team.limited && hub.isBusy(fenceKey)) return
         val attempt = job.nextGangAttempt()
         val next = job.place(seats.mapValues { (_, s) -> Job.Host(s.machine.name, s.tenure) }, attempt)
-        val base = Settlement.write(job, next, term)
+        val base = TaskCompletion.write(job, next, term)
         val conditions = HashMap(base.conditions)
         val changes = ArrayList(base.changes)
         for (m in machines) {
             // The claim ends with this very write: it is one for an attempt that is placed from then on.
-            conditions[Keys.HOST + m.name] = m.stamp
+            conditions[StoreKeys.HOST + m.name] = m.stamp
         }
         if (team.limited) {
             conditions[fenceKey] = hub.world.stamp(fenceKey)
@@ -309,10 +309,10 @@
     }
 
     private fun release(id: String, machines: List<Machine>, why: String) {
-        val conditions = HashMap(Settlement.fence(hub))
+        val conditions = HashMap(TaskCompletion.fence(hub))
         val changes = machines.take(hub.settings.stateLimits.txnOps).map { m ->
-            conditions[Keys.HOST + m.name] = m.stamp
-            Change.Put(Keys.HOST + m.name, FleetCodec.encode(m.copy(claim = null)))
+            conditions[StoreKeys.HOST + m.name] = m.stamp
+            Change.Put(StoreKeys.HOST + m.name, FleetCodec.encode(m.copy(claim = null)))
         }
         if (hub.commit(Cause.GANG, Txn(conditions, changes))) log.info("job={} claims released: {}", id, why)
     }
--- a/src/main/kotlin/flaxfield/jobs/Settle.kt
+++ b/src/main/kotlin/flaxfield/jobs/CompletionRules.kt
@@ -20,7 +20,7 @@
 }
 
 /** Pure: what proofs make of a job's record. */
-object Settle {
+object CompletionRules {
     /** After this many failures on different machines the job, not the machines, is to blame. */
     const val FAULTY_JOB_HOSTS = 2
     private const val MAX_HOSTS_KEPT = 8
--- a/src/main/kotlin/flaxfield/jobs/OverDesk.kt
+++ b/src/main/kotlin/flaxfield/jobs/FinishedJobLookup.kt
@@ -1,8 +1,8 @@
 package flaxfield.jobs
 
-import flaxfield.node.Hub
+import flaxfield.node.NodeContext
 import flaxfield.store.Cause
-import flaxfield.store.Keys
+import flaxfield.store.StoreKeys
 import flaxfield.store.Read
 
 /** What the store says of a job that is not in the view. */
@@ -20,7 +20,7 @@
  * Looks for jobs among those that are over. One comparison asks for many ids at once, and only those that it finds are
  * read: asked one by one, polls for ids that nobody submitted used up the node's requests.
  */
-class OverDesk(private val hub: Hub, private val found: (Finished) -> Unit) {
+class FinishedJobLookup(private val hub: NodeContext, private val found: (Finished) -> Unit) {
     private class Ask(val sinceNs: Long, val done: (Ended) -> Unit)
 
     private val waiting = LinkedHashMap<String, ArrayList<Ask>>()
@@ -48,14 +48,14 @@
         nextNs = hub.nowNs + GAP_MS * NS_PER_MS
         val ids = waiting.keys.take(hub.settings.stateLimits.txnOps * CONDITIONS)
         val sent = ids.associateWith { waiting.getValue(it).toList() }
-        hub.store.present(ids.map { Keys.OVER + it }) { present ->
+        hub.store.present(ids.map { StoreKeys.OVER + it }) { present ->
             hub.post {
                 comparing = false
                 if (present != null) hub.stateOk()
                 for ((id, asked) in sent) {
                     when {
                         present == null -> finish(id, Ended.Unclear, asked)
-                        Keys.OVER + id in present -> read(id, asked)
+                        StoreKeys.OVER + id in present -> read(id, asked)
                         else -> finish(id, Ended.Absent, asked)
                     }
                 }
@@ -67,7 +67,7 @@
     private fun read(id: String, asked: List<Ask>) {
         if (reading >= MOST_READS || !hub.budget.take(Cause.READ, 0, hub.nowNs)) return finish(id, Ended.Unclear, asked)
         reading++
-        hub.store.get(Keys.OVER + id) { read ->
+        hub.store.get(StoreKeys.OVER + id) { read ->
             hub.post {
                 reading--
                 val ended = when (read) {
--- a/src/main/kotlin/flaxfield/jobs/Job.kt
+++ b/src/main/kotlin/flaxfield/jobs/Job.kt
@@ -99,7 +99,7 @@
      * It failed on several machines, more often than it stands on others now, and no task of it has completed: most
      * likely it was submitted with a mistake. It is tried on and on, at nobody else's cost.
      */
-    val suspect: Boolean get() = errorHosts.size >= Settle.FAULTY_JOB_HOSTS && doneCount == 0 && placedCount < errors
+    val suspect: Boolean get() = errorHosts.size >= CompletionRules.FAULTY_JOB_HOSTS && doneCount == 0 && placedCount < errors
 
     /** Whether it comes after all others: it is [suspect], and has not been due in vain since before [lateMs]. */
     fun comesLast(lateMs: Long): Boolean = suspect && retryAtMs >= lateMs
--- a/src/main/kotlin/flaxfield/jobs/JobDesk.kt
+++ b/src/main/kotlin/flaxfield/jobs/JobRequestHandler.kt
@@ -1,16 +1,16 @@
 package flaxfield.jobs
 
-import flaxfield.arrays.ArrayDesk
+import flaxfield.arrays.ArrayScheduler
 import flaxfield.codec.MalformedException
 import flaxfield.codec.Wire
 import flaxfield.net.Body
 import flaxfield.net.Reply
 import flaxfield.node.Controller
-import flaxfield.node.Hub
+import flaxfield.node.NodeContext
 import flaxfield.settings.StateLimits
 import flaxfield.store.Cause
 import flaxfield.store.Change
-import flaxfield.store.Keys
+import flaxfield.store.StoreKeys
 import flaxfield.store.Outcome
 import flaxfield.store.Read
 import flaxfield.store.Sizes
@@ -18,14 +18,14 @@
 import org.slf4j.LoggerFactory
 
 /** Users' requests: submit, status, cancel. Nothing is told before it is committed. */
-class JobDesk(private val hub: Hub, private val begin: (Job) -> ArrayDesk.Begun?) {
+class JobRequestHandler(private val hub: NodeContext, private val begin: (Job) -> ArrayScheduler.Begun?) {
     private class Waiter(val id: String, val reply: Reply, val sinceNs: Long, val then: (Job?) -> Unit) {
         /** The view must have reached this ledger; null until a read has told it. */
         var need: ULong? = null
     }
 
     private val finished = FinishedJobs(hub.operator.finishedCache.toLong())
-    private val ended = OverDesk(hub, finished::remember)
+    private val ended = FinishedJobLookup(hub, finished::remember)
     private val waiters = ArrayList<Waiter>()
     private var confirming = false
     private var nextConfirmNs = 0L
@@ -53,12 +53,12 @@
 
     private fun accept(job: Job, reply: Reply, mayBegin: Boolean) {
         val spec = job.spec
-        val key = Keys.JOB + spec.id
+        val key = StoreKeys.JOB + spec.id
         if (hub.isBusy(key)) return later(reply, "a submission of this job is under way")
         if (!hub.maySpend(Cause.SUBMIT, 1)) return later(reply, "too many submissions")
         val begun = if (mayBegin) begin(job) else null
         val txn = Txn(
-            begun?.conditions.orEmpty() + mapOf(key to 0uL, Keys.OVER + spec.id to 0uL),
+            begun?.conditions.orEmpty() + mapOf(key to 0uL, StoreKeys.OVER + spec.id to 0uL),
             listOf(Change.Put(key, JobCodec.encodeHead(begun?.job ?: job))),
         )
         val sent = hub.commit(Cause.SUBMIT, txn) { outcome ->
@@ -106,7 +106,7 @@
         confirmed(id, reply) { job ->
             if (job != null) {
                 answer(reply, 200, JobCodec.status(job))
-            } else if (hub.world.stamp(Keys.JOB + id) != 0uL) {
+            } else if (hub.world.stamp(StoreKeys.JOB + id) != 0uL) {
                 // Its record is there and can't be read: accepted all the same, and never to be called unknown.
                 log.error("job={} has a record that can't be read", id)
                 answer(reply, 200, mapOf("id" to id, "phase" to "pending"))
@@ -138,12 +138,12 @@
             }
         }
         if (tries <= 0) return later(reply, "the job changes too often")
-        val key = Keys.JOB + id
+        val key = StoreKeys.JOB + id
         if (hub.isBusy(key)) return confirmed(id, reply) { cancel(id, reply, tries - 1) }
         val cancelled = job.copy(cancelledMs = hub.nowMs)
         // Of a job with several chunks a placement may just be committed in one: only those after the cancellation fail.
         val txn = if (job.placedCount == 0 && job.spec.shards <= job.chunkTasks) {
-            Settlement.over(hub, cancelled, aborted = true, fenced = false)
+            TaskCompletion.over(hub, cancelled, aborted = true, fenced = false)
         } else {
             Txn(mapOf(key to job.stamp), listOf(Change.Put(key, JobCodec.encodeHead(cancelled))))
         }
@@ -188,7 +188,7 @@
         confirming = true
         nextConfirmNs = now + confirmGapNs
         val asked = waiters.filter { it.need == null }
-        hub.store.get(Keys.NOTHING) { read ->
+        hub.store.get(StoreKeys.NOTHING) { read ->
             hub.post {
                 confirming = false
                 if (read is Read.Absent) {
--- a/src/main/kotlin/flaxfield/jobs/StallDesk.kt
+++ b/src/main/kotlin/flaxfield/jobs/StallMonitor.kt
@@ -1,6 +1,6 @@
 package flaxfield.jobs
 
-import flaxfield.node.Hub
+import flaxfield.node.NodeContext
 import org.slf4j.LoggerFactory
 
 /** Why a job makes no progress. */
@@ -19,7 +19,7 @@
 }
 
 /** The leader's look at jobs whose records do not change: it names them, and heals what no one else would. */
-class StallDesk(private val hub: Hub, private val settlement: Settlement) {
+class StallMonitor(private val hub: NodeContext, private val settlement: TaskCompletion) {
     private class Seen(val stamp: ULong, val sinceNs: Long) {
         /** How often it has been named: once in each [STILL_S], not at each look. */
         var named = 0
--- a/src/main/kotlin/flaxfield/jobs/Waits.kt
+++ b/src/main/kotlin/flaxfield/jobs/StarvationTracker.kt
@@ -8,7 +8,7 @@
  * A placement ends the wait only when it has stood for a while: one that was taken back before its task began, since its
  * machine was to be returned, made a job wait from the beginning.
  */
-class Waits {
+class StarvationTracker {
     private val waitingSinceMs = HashMap<String, Long>()
     private val placedSinceMs = HashMap<String, Long>()
 
--- a/src/main/kotlin/flaxfield/jobs/Settlement.kt
+++ b/src/main/kotlin/flaxfield/jobs/TaskCompletion.kt
@@ -1,16 +1,16 @@
 package flaxfield.jobs
 
-import flaxfield.node.Hub
+import flaxfield.node.NodeContext
 import flaxfield.settings.StateLimits
 import flaxfield.store.Cause
 import flaxfield.store.Change
-import flaxfield.store.Keys
+import flaxfield.store.StoreKeys
 import flaxfield.store.Outcome
 import flaxfield.store.Txn
 import org.slf4j.LoggerFactory
 
 /** Commits proofs about tasks to their jobs' records, and closes jobs that are over. */
-class Settlement(private val hub: Hub) {
+class TaskCompletion(private val hub: NodeContext) {
     /** Proofs about one job that the view does not show yet. */
     private class Proofs(var sinceNs: Long) {
         val events = LinkedHashMap<Pair<Int, Long>, TaskEvent>()
@@ -77,9 +77,9 @@
     private fun settle(job: Job, all: List<TaskEvent>, term: ULong, cause: Cause): Boolean {
         // As many chunks as one transaction holds; the others follow in the next.
         val some = all.mapTo(LinkedHashSet()) { it.index / job.chunkTasks }.take(chunksAtOnce(hub.settings.stateLimits)).toSet()
-        if ((some + 0).any { hub.isBusy(Keys.chunk(job.id, it)) }) return false
+        if ((some + 0).any { hub.isBusy(StoreKeys.chunk(job.id, it)) }) return false
         val events = all.filter { it.index / job.chunkTasks in some }
-        val next = Settle.apply(job, events, hub.nowMs, (hub.settings.workers.reportS * BACKOFF_REPORTS * MS).toLong())
+        val next = CompletionRules.apply(job, events, hub.nowMs, (hub.settings.workers.reportS * BACKOFF_REPORTS * MS).toLong())
         if (next === job) return false
         val over = next.complete || (next.cancelled && next.placedCount == 0)
         val txn = if (over) over(hub, next, aborted = !next.complete || next.cancelled, fenced = true) else write(job, next, term)
@@ -95,13 +95,13 @@
     private fun sweep() {
         for (job in hub.world.jobs.values) {
             val over = job.complete || (job.cancelled && job.placedCount == 0)
-            if (!over || hub.isBusy(Keys.JOB + job.id)) continue
+            if (!over || hub.isBusy(StoreKeys.JOB + job.id)) continue
             if (!hub.commit(Cause.FINISH, over(hub, job, aborted = job.cancelled, fenced = true))) return
         }
-        val strays = hub.world.strayChunks.keys.filter { !hub.isBusy(Keys.PART + it) }
+        val strays = hub.world.strayChunks.keys.filter { !hub.isBusy(StoreKeys.PART + it) }
         if (strays.isNotEmpty()) {
             val some = strays.take(hub.settings.stateLimits.txnOps / 2)
-            hub.commit(Cause.ROOM, Txn(fence(hub), some.map { Change.Drop(Keys.PART + it) }))
+            hub.commit(Cause.ROOM, Txn(fence(hub), some.map { Change.Drop(StoreKeys.PART + it) }))
         }
     }
 
@@ -134,7 +134,7 @@
         fun chunksAtOnce(limits: StateLimits): Int = minOf(limits.txnOps / 2, (TXN_KB / limits.valueKb).toInt() - 1).coerceAtLeast(1)
 
         /** The condition that every decision's transaction carries: the assignment it was made under. */
-        fun fence(hub: Hub): Map<String, ULong> = mapOf(Keys.ASSIGNMENT to hub.world.stamp(Keys.ASSIGNMENT))
+        fun fence(hub: NodeContext): Map<String, ULong> = mapOf(StoreKeys.ASSIGNMENT to hub.world.stamp(StoreKeys.ASSIGNMENT))
 
         /**
          * The transaction that replaces [old]'s record by [next]. The head's stamp is always a condition, since it tells
@@ -145,27 +145,27 @@
             val head = old.boundTogether || !old.sameHead(next)
             val changed = next.chunks.filter { (n, c) -> n == 0 && head || old.chunks[n] !== c }
             val conditions = HashMap<String, ULong>()
-            conditions[Keys.ASSIGNMENT] = term
-            conditions[Keys.JOB + old.id] = old.stamp
-            for (n in changed.keys) conditions[Keys.chunk(old.id, n)] = if (n == 0) old.stamp else old.chunks[n]?.stamp ?: 0uL
+            conditions[StoreKeys.ASSIGNMENT] = term
+            conditions[StoreKeys.JOB + old.id] = old.stamp
+            for (n in changed.keys) conditions[StoreKeys.chunk(old.id, n)] = if (n == 0) old.stamp else old.chunks[n]?.stamp ?: 0uL
             val puts = changed.map { (n, c) ->
-                Change.Put(Keys.chunk(old.id, n), if (n == 0) JobCodec.encodeHead(next) else JobCodec.encodeChunk(c))
+                Change.Put(StoreKeys.chunk(old.id, n), if (n == 0) JobCodec.encodeHead(next) else JobCodec.encodeChunk(c))
             }
             return Txn(conditions, puts)
         }
 
         /** The transaction that moves a job to the finished ones. Chunks beyond a transaction's size follow later. */
-        fun over(hub: Hub, job: Job, aborted: Boolean, fenced: Boolean): Txn {
-            val head = Keys.JOB + job.id
+        fun over(hub: NodeContext, job: Job, aborted: Boolean, fenced: Boolean): Txn {
+            val head = StoreKeys.JOB + job.id
             val conditions = HashMap<String, ULong>()
             conditions[head] = job.stamp
             if (fenced) conditions += fence(hub)
-            val parts = job.chunks.keys.filter { it != 0 && hub.world.stamp(Keys.chunk(job.id, it)) != 0uL }
+            val parts = job.chunks.keys.filter { it != 0 && hub.world.stamp(StoreKeys.chunk(job.id, it)) != 0uL }
             val changes = ArrayList<Change>()
-            changes += Change.Put(Keys.OVER + job.id, JobCodec.encodeFinished(Finished(job.id, aborted, job.doneCount)))
+            changes += Change.Put(StoreKeys.OVER + job.id, JobCodec.encodeFinished(Finished(job.id, aborted, job.doneCount)))
             changes += Change.Drop(head)
             for (n in parts.take(hub.settings.stateLimits.txnOps - changes.size)) {
-                val key = Keys.chunk(job.id, n)
+                val key = StoreKeys.chunk(job.id, n)
                 conditions[key] = hub.world.stamp(key)
                 changes += Change.Drop(key)
             }
--- a/src/main/kotlin/flaxfield/members/MemberDesk.kt
+++ b/src/main/kotlin/flaxfield/members/MembershipManager.kt
@@ -1,14 +1,14 @@
 package flaxfield.members
 
-import flaxfield.node.Hub
+import flaxfield.node.NodeContext
 import flaxfield.store.Cause
 import flaxfield.store.Change
-import flaxfield.store.Keys
+import flaxfield.store.StoreKeys
 import flaxfield.store.Txn
 import org.slf4j.LoggerFactory
 
 /** Keeps this process's lease and carries out [MemberRules]. */
-class MemberDesk(private val hub: Hub) {
+class MembershipManager(private val hub: NodeContext) {
     private var lease: ULong? = null
     private var asking = false
     private var nextRenewNs = 0L
@@ -77,17 +77,17 @@
         val step = MemberRules.next(hub.me, w.members.values, w.leader, w.assignment) ?: return
         val (key, change) = when (step) {
             is MemberStep.Join -> {
-                val key = Keys.MEMBER + hub.me.name
+                val key = StoreKeys.MEMBER + hub.me.name
                 key to Change.Put(key, MemberCodec.encode(hub.me), held)
             }
-            is MemberStep.Lead -> Keys.LEADER to Change.Put(Keys.LEADER, MemberCodec.encode(hub.me), held)
-            is MemberStep.Assign -> Keys.ASSIGNMENT to Change.Put(Keys.ASSIGNMENT, MemberCodec.encode(hub.me, step.members))
+            is MemberStep.Lead -> StoreKeys.LEADER to Change.Put(StoreKeys.LEADER, MemberCodec.encode(hub.me), held)
+            is MemberStep.Assign -> StoreKeys.ASSIGNMENT to Change.Put(StoreKeys.ASSIGNMENT, MemberCodec.encode(hub.me, step.members))
         }
         if (hub.isBusy(key)) return
         val conditions = HashMap<String, ULong>()
         conditions[key] = w.stamp(key)
         // An assignment stands only while its writer leads: the leader's key is part of the condition.
-        if (step is MemberStep.Assign) conditions[Keys.LEADER] = w.stamp(Keys.LEADER)
+        if (step is MemberStep.Assign) conditions[StoreKeys.LEADER] = w.stamp(StoreKeys.LEADER)
         stepOpen = hub.commit(Cause.LEASE, Txn(conditions, listOf(change))) { outcome ->
             stepOpen = false
             nextStepNs = hub.nowNs + (ttlMs * RETRY_SHARE * NS_PER_MS).toLong() / STEP_PACE
--- a/src/main/kotlin/flaxfield/net/Doors.kt
+++ b/src/main/kotlin/flaxfield/net/ConnectionLimits.kt
@@ -38,7 +38,7 @@
  * request shows whether a worker or a user is at its other end. Users' idle connections give way first: a
  * user connects again, while a worker that finds no socket loses its tasks with its lease.
  */
-class Doors<C : Any>(private val shares: SocketShares, private val close: (C) -> Unit) {
+class ConnectionLimits<C : Any>(private val shares: SocketShares, private val close: (C) -> Unit) {
     private class Entry(var user: Boolean, var atNs: Long, var busy: Boolean)
 
     /** In the order of their last use. */
--- a/src/main/kotlin/flaxfield/net/Http.kt
+++ b/src/main/kotlin/flaxfield/net/Http.kt
@@ -77,7 +77,7 @@
     private val idleS: Double,
     private val onRequest: (Request) -> Unit,
 ) {
-    private val doors = Doors<Channel>(shares) { it.close() }
+    private val doors = ConnectionLimits<Channel>(shares) { it.close() }
 
     fun bind(host: String, port: Int): Channel {
         val idleNs = (idleS * NS).toLong()
--- a/src/main/kotlin/flaxfield/node/Controller.kt
+++ b/src/main/kotlin/flaxfield/node/Controller.kt
@@ -1,31 +1,31 @@
 package flaxfield.node
 
-import flaxfield.arrays.ArrayDesk
+import flaxfield.arrays.ArrayScheduler
 import flaxfield.codec.Wire
 import flaxfield.fleet.CloudClient
-import flaxfield.fleet.FleetDesk
-import flaxfield.gangs.GangDesk
-import flaxfield.jobs.JobDesk
-import flaxfield.jobs.Settlement
-import flaxfield.jobs.StallDesk
+import flaxfield.fleet.FleetReconciler
+import flaxfield.gangs.GangScheduler
+import flaxfield.jobs.JobRequestHandler
+import flaxfield.jobs.TaskCompletion
+import flaxfield.jobs.StallMonitor
 import flaxfield.members.Member
-import flaxfield.members.MemberDesk
+import flaxfield.members.MembershipManager
 import flaxfield.net.Body
 import flaxfield.net.Calls
 import flaxfield.net.Reply
 import flaxfield.net.Request
-import flaxfield.peers.PeerDesk
+import flaxfield.peers.PeerGateway
 import flaxfield.peers.PeerLine
 import flaxfield.peers.PeerMessage
 import flaxfield.settings.Address
 import flaxfield.settings.OperatorSettings
 import flaxfield.settings.Settings
 import flaxfield.store.StoreClient
-import flaxfield.store.World
+import flaxfield.store.ClusterView
 import flaxfield.workers.DirectOrders
-import flaxfield.workers.HostWatch
-import flaxfield.workers.StopDesk
-import flaxfield.workers.WorkerDesk
+import flaxfield.workers.WorkerHealth
+import flaxfield.workers.HaltDispatcher
+import flaxfield.workers.ReportHandler
 import org.slf4j.LoggerFactory
 
 /** The ways out of one controller; the simulation of the tests gives its own. */
@@ -62,27 +62,27 @@
     mostDirect: Int,
     post: (() -> Unit) -> Unit,
 ) {
-    private val hub = Hub(
+    private val hub = NodeContext(
         settings,
         operator,
         Member(settings.nodeName, incarnation, settings.zone),
         clock,
         StoreClient(outside.state, outside.watch, STORE_TIMEOUT_MS),
-        World(),
+        ClusterView(),
         post,
     )
     private val metrics = Metrics()
-    private val peers = PeerDesk(hub, outside.peer)
-    private val settlement = Settlement(hub)
-    private val hosts = HostWatch(hub)
-    private val stops = StopDesk(hub, hosts, DirectOrders(DIRECT_TIMEOUT_MS, mostDirect, outside.worker))
-    private val workers = WorkerDesk(hub, settlement, peers, hosts, stops)
-    private val members = MemberDesk(hub)
-    private val gangs = GangDesk(hub)
-    private val arrays = ArrayDesk(hub, hosts, stops)
-    private val jobs = JobDesk(hub, arrays::begin)
-    private val fleet = FleetDesk(hub, CloudClient(outside.cloud, CLOUD_TIMEOUT_MS), settlement)
-    private val stalls = StallDesk(hub, settlement)
+    private val peers = PeerGateway(hub, outside.peer)
+    private val settlement = TaskCompletion(hub)
+    private val hosts = WorkerHealth(hub)
+    private val stops = HaltDispatcher(hub, hosts, DirectOrders(DIRECT_TIMEOUT_MS, mostDirect, outside.worker))
+    private val workers = ReportHandler(hub, settlement, peers, hosts, stops)
+    private val members = MembershipManager(hub)
+    private val gangs = GangScheduler(hub)
+    private val arrays = ArrayScheduler(hub, hosts, stops)
+    private val jobs = JobRequestHandler(hub, arrays::begin)
+    private val fleet = FleetReconciler(hub, CloudClient(outside.cloud, CLOUD_TIMEOUT_MS), settlement)
+    private val stalls = StallMonitor(hub, settlement)
     private val follower = Follower(hub, jobs, hosts)
 
     private val decisions = Deferral((settings.workers.reportS * DEFER_REPORTS * NS_PER_S).toLong())
--- a/src/main/kotlin/flaxfield/node/Follower.kt
+++ b/src/main/kotlin/flaxfield/node/Follower.kt
@@ -1,15 +1,15 @@
 package flaxfield.node
 
-import flaxfield.jobs.JobDesk
+import flaxfield.jobs.JobRequestHandler
 import flaxfield.store.Cause
-import flaxfield.store.Keys
+import flaxfield.store.StoreKeys
 import flaxfield.store.Read
 import flaxfield.store.Watched
-import flaxfield.workers.HostWatch
+import flaxfield.workers.WorkerHealth
 import org.slf4j.LoggerFactory
 
 /** Keeps the view: a paged read first, then one watch after another over the same prefix. */
-class Follower(private val hub: Hub, private val jobs: JobDesk, private val hosts: HostWatch) {
+class Follower(private val hub: NodeContext, private val jobs: JobRequestHandler, private val hosts: WorkerHealth) {
     /** The view has been complete at least once; read by the network thread as well. */
     @Volatile
     var synced = false
@@ -37,7 +37,7 @@
     private fun page(from: String?) {
         if (!hub.budget.take(Cause.LEASE, 0, hub.nowNs)) return retryList()
         val sentNs = hub.nowNs
-        hub.store.list(Keys.LIVE, from, PAGE) { page ->
+        hub.store.list(StoreKeys.LIVE, from, PAGE) { page ->
             hub.post {
                 if (page == null) {
                     retryList()
@@ -91,7 +91,7 @@
         if (!hub.budget.take(Cause.LEASE, 0, now)) return
         asking = true
         nextAskNs = now + askGapNs
-        hub.store.get(Keys.NOTHING) { read ->
+        hub.store.get(StoreKeys.NOTHING) { read ->
             hub.post {
                 asking = false
                 if (read is Read.Absent) {
@@ -108,7 +108,7 @@
         open = true
         val sentNs = hub.nowNs
         nextNs = sentNs + gapNs
-        hub.store.follow(Keys.LIVE, hub.world.ledger, BLOCK_MS) { w -> hub.post { watched(w, sentNs) } }
+        hub.store.follow(StoreKeys.LIVE, hub.world.ledger, BLOCK_MS) { w -> hub.post { watched(w, sentNs) } }
     }
 
     private fun watched(w: Watched, sentNs: Long) {
@@ -124,7 +124,7 @@
                 hub.stateOk()
                 for (i in w.items) {
                     hub.world.apply(i)
-                    if (i.value == null && i.key.startsWith(Keys.HOST)) hosts.forget(i.key.removePrefix(Keys.HOST))
+                    if (i.value == null && i.key.startsWith(StoreKeys.HOST)) hosts.forget(i.key.removePrefix(StoreKeys.HOST))
                 }
                 hub.knowledge.read(sentNs, w.ledger)
                 moved(w.ledger)
--- a/src/main/kotlin/flaxfield/node/Hub.kt
+++ b/src/main/kotlin/flaxfield/node/NodeContext.kt
@@ -3,20 +3,20 @@
 import flaxfield.arrays.Reserved
 import flaxfield.fleet.Machine
 import flaxfield.jobs.Job
-import flaxfield.jobs.Waits
+import flaxfield.jobs.StarvationTracker
 import flaxfield.members.Member
 import flaxfield.quota.TeamUse
 import flaxfield.settings.OperatorSettings
 import flaxfield.settings.Settings
 import flaxfield.store.Budget
 import flaxfield.store.Cause
-import flaxfield.store.Knowledge
+import flaxfield.store.ViewFreshness
 import flaxfield.store.Outcome
 import flaxfield.store.Share
 import flaxfield.store.Sizes
 import flaxfield.store.StoreClient
 import flaxfield.store.Txn
-import flaxfield.store.World
+import flaxfield.store.ClusterView
 import org.slf4j.LoggerFactory
 
 /** Steady and daily time; tests set their own. */
@@ -33,27 +33,27 @@
 }
 
 /** What the slices of one process share; all of it belongs to the owner thread. */
-class Hub(
+class NodeContext(
     val settings: Settings,
     val operator: OperatorSettings,
     val me: Member,
     val clock: Clock,
     val store: StoreClient,
-    val world: World,
+    val world: ClusterView,
     /** Hands work back to the owner thread; safe from any thread. */
     val post: (() -> Unit) -> Unit,
 ) {
     val budget = Budget(settings.stateLimits, settings.size)
 
-    /** Keys that a transaction of ours is changing: null while it is open, else the ledger to wait for. */
+    /** StoreKeys that a transaction of ours is changing: null while it is open, else the ledger to wait for. */
     private val busy = HashMap<String, ULong?>()
 
-    /** Keys whose last value was too big to write, and until when they are left alone. */
+    /** StoreKeys whose last value was too big to write, and until when they are left alone. */
     private val heldBack = HashMap<String, Long>()
     val counts = Counts()
 
     /** How old the view may be at most. */
-    val knowledge = Knowledge()
+    val knowledge = ViewFreshness()
 
     /** Machine types whose ordinary kind is left to jobs that can use no other. */
     val reserved = Reserved()
@@ -70,7 +70,7 @@
     }
 
     /** Which jobs have waited with nothing on any machine. */
-    private val waits = Waits()
+    private val waits = StarvationTracker()
 
     /** Whether a job has waited so long that nothing is kept from it for others any more. */
     fun waitedLong(job: Job): Boolean = waits.long(job, nowMs)
--- a/src/main/kotlin/flaxfield/peers/PeerDesk.kt
+++ b/src/main/kotlin/flaxfield/peers/PeerGateway.kt
@@ -1,10 +1,10 @@
 package flaxfield.peers
 
-import flaxfield.node.Hub
+import flaxfield.node.NodeContext
 import flaxfield.settings.Address
 
 /** Hints between our own processes: pulses and relayed reports. */
-class PeerDesk(private val hub: Hub, connect: (Address, (PeerMessage) -> Unit) -> PeerLine) {
+class PeerGateway(private val hub: NodeContext, connect: (Address, (PeerMessage) -> Unit) -> PeerLine) {
     private class Pending(val sinceNs: Long, val done: (Int, ByteArray?) -> Unit)
 
     private val clients = hub.settings.peers.associate { p ->
--- a/src/main/kotlin/flaxfield/store/World.kt
+++ b/src/main/kotlin/flaxfield/store/ClusterView.kt
@@ -5,9 +5,9 @@
 import flaxfield.arrays.RoomSummary
 import flaxfield.codec.Obj
 import flaxfield.fleet.Claim
-import flaxfield.fleet.Flavor
+import flaxfield.fleet.MachineType
 import flaxfield.fleet.FleetCodec
-import flaxfield.fleet.Hire
+import flaxfield.fleet.Rental
 import flaxfield.fleet.Machine
 import flaxfield.jobs.Chunk
 import flaxfield.jobs.Job
@@ -26,22 +26,22 @@
 data class OnHost(val job: Job, val placed: Placed)
 
 /**
- * The ordered in-memory view of everything under [Keys.LIVE], at [ledger]. Only the owner thread touches
+ * The ordered in-memory view of everything under [StoreKeys.LIVE], at [ledger]. Only the owner thread touches
  * it. Items older than what is held are ignored, so a paged read and the watch after it may overlap.
  */
-class World {
+class ClusterView {
     var ledger: ULong = 0uL
         private set
     private val stamps = HashMap<String, ULong>()
     val jobs = LinkedHashMap<String, Job>()
     val machines = HashMap<String, Machine>()
     val members = HashMap<String, Member>()
-    val hires = HashMap<String, Hire>()
+    val hires = HashMap<String, Rental>()
     private val rooms = HashMap<String, RoomSummary>()
 
     /** Each machine's row in the summary written under the latest term. */
     private val hostRooms = HashMap<String, SummaryRow>()
-    var flavors: Map<String, Flavor> = emptyMap()
+    var flavors: Map<String, MachineType> = emptyMap()
         private set
     var flavorsAtMs: Long = 0
         private set
@@ -124,20 +124,20 @@
 
     private fun applyKnown(key: String, value: Obj?, stamp: ULong) {
         when {
-            key.startsWith(Keys.JOB) -> setHead(key.removePrefix(Keys.JOB), value, stamp)
-            key.startsWith(Keys.PART) -> setPart(key.removePrefix(Keys.PART), value, stamp)
-            key.startsWith(Keys.HOST) -> {
+            key.startsWith(StoreKeys.JOB) -> setHead(key.removePrefix(StoreKeys.JOB), value, stamp)
+            key.startsWith(StoreKeys.PART) -> setPart(key.removePrefix(StoreKeys.PART), value, stamp)
+            key.startsWith(StoreKeys.HOST) -> {
                 machinesVersion++
-                val name = key.removePrefix(Keys.HOST)
+                val name = key.removePrefix(StoreKeys.HOST)
                 set(machines, name, value) { FleetCodec.machine(it, key, stamp) }
                 if (machines[name]?.claim != null) claimed += name else claimed -= name
             }
-            key.startsWith(Keys.ROOM) -> setRoom(key, value?.let(RoomCodec::decode))
-            key.startsWith(Keys.MEMBER) -> set(members, key.removePrefix(Keys.MEMBER), value) { MemberCodec.member(it) }
-            key.startsWith(Keys.HIRE) -> set(hires, key.removePrefix(Keys.HIRE), value) { FleetCodec.hire(it, key, stamp) }
-            key == Keys.ASSIGNMENT -> assignment = value?.let { MemberCodec.assignment(it, stamp) }
-            key == Keys.LEADER -> leader = value?.let { MemberCodec.member(it) }
-            key == Keys.TYPES -> {
+            key.startsWith(StoreKeys.ROOM) -> setRoom(key, value?.let(RoomCodec::decode))
+            key.startsWith(StoreKeys.MEMBER) -> set(members, key.removePrefix(StoreKeys.MEMBER), value) { MemberCodec.member(it) }
+            key.startsWith(StoreKeys.HIRE) -> set(hires, key.removePrefix(StoreKeys.HIRE), value) { FleetCodec.hire(it, key, stamp) }
+            key == StoreKeys.ASSIGNMENT -> assignment = value?.let { MemberCodec.assignment(it, stamp) }
+            key == StoreKeys.LEADER -> leader = value?.let { MemberCodec.member(it) }
+            key == StoreKeys.TYPES -> {
                 flavors = value?.let(FleetCodec::flavors).orEmpty()
                 freeOn.clear()
                 flavorsAtMs = value?.count("at")?.toLong() ?: 0
@@ -154,7 +154,7 @@
         val new = value?.let { JobCodec.decodeHead(it, stamp) }
         if (new == null) {
             if (old != null) {
-                for ((n, c) in old.chunks) if (n != 0 && stamps.containsKey(Keys.chunk(id, n))) strayChunks["$id/$n"] = c
+                for ((n, c) in old.chunks) if (n != 0 && stamps.containsKey(StoreKeys.chunk(id, n))) strayChunks["$id/$n"] = c
             }
             replace(id, old, null, old?.chunks?.keys.orEmpty())
             return
--- a/src/main/kotlin/flaxfield/store/Keys.kt
+++ b/src/main/kotlin/flaxfield/store/StoreKeys.kt
@@ -1,7 +1,7 @@
 package flaxfield.store
 
 /** The state service's keys. All under [LIVE] are held in every node's view; finished jobs are not. */
-object Keys {
+object StoreKeys {
     const val LIVE = "live/"
     const val ASSIGNMENT = "live/assignment"
     const val LEADER = "live/leader"
--- a/src/main/kotlin/flaxfield/store/Knowledge.kt
+++ b/src/main/kotlin/flaxfield/store/ViewFreshness.kt
@@ -5,7 +5,7 @@
  * All that was committed before it, and so all that users were told before it, is in the view. An answer to anything
  * else shows contact, not knowledge: a lease is renewed also while the view stands still. Only the owner thread touches it.
  */
-class Knowledge {
+class ViewFreshness {
     private class Read(val sentNs: Long, val ledger: ULong)
 
     private val open = ArrayDeque<Read>()
--- a/src/main/kotlin/flaxfield/workers/Hearing.kt
+++ b/src/main/kotlin/flaxfield/workers/AnswerReachability.kt
@@ -4,7 +4,7 @@
  * Pure: whether our answers reach a worker. Its reports may arrive while answers and commands do not: such
  * a machine looks alive, starts nothing, and loses its tasks with each lease.
  */
-data class Hearing(
+data class AnswerReachability(
     private val term: ULong = 0uL,
     private val tenure: ULong = 0uL,
     private val launched: List<Order.Launch> = emptyList(),
@@ -15,7 +15,7 @@
     val missed: Int = 0,
 ) {
     /** What a report newer than the one we answered last tells. */
-    fun reported(r: Report, term: ULong, nowNs: Long, leaseNs: Double): Hearing {
+    fun reported(r: Report, term: ULong, nowNs: Long, leaseNs: Double): AnswerReachability {
         if (answeredNs == 0L || term != this.term) return copy(missed = 0)
         return when {
             // Its lease ran out soon after an answer of ours. A cut or a hang does that once, and then it hears us.
@@ -29,7 +29,7 @@
         }
     }
 
-    fun answered(r: Report, term: ULong, orders: List<Order>, nowNs: Long): Hearing = copy(
+    fun answered(r: Report, term: ULong, orders: List<Order>, nowNs: Long): AnswerReachability = copy(
         term = term,
         tenure = r.tenure,
         launched = orders.filterIsInstance<Order.Launch>(),
--- a/src/main/kotlin/flaxfield/workers/StopDesk.kt
+++ b/src/main/kotlin/flaxfield/workers/HaltDispatcher.kt
@@ -1,13 +1,13 @@
 package flaxfield.workers
 
-import flaxfield.jobs.Settlement
-import flaxfield.node.Hub
+import flaxfield.jobs.TaskCompletion
+import flaxfield.node.NodeContext
 import flaxfield.store.Cause
-import flaxfield.store.Keys
+import flaxfield.store.StoreKeys
 import org.slf4j.LoggerFactory
 
 /** Tells workers what can't wait for their next report: halts, and the epoch where they do not come by themselves. */
-class StopDesk(private val hub: Hub, private val hosts: HostWatch, private val direct: DirectOrders) {
+class HaltDispatcher(private val hub: NodeContext, private val hosts: WorkerHealth, private val direct: DirectOrders) {
     /** The cloud takes the machine back soon: tasks that can save are stopped, so that they go on elsewhere. */
     fun drain(report: Report, term: ULong) {
         for (list in hub.world.on(report.host).groupBy { it.job.id }.values) {
@@ -20,9 +20,9 @@
     /** Records that tasks are to stop; their halts follow from the records. */
     fun stop(id: String, tasks: List<Int>, term: ULong, why: String) {
         val job = hub.world.jobs[id] ?: return
-        if (tasks.isEmpty() || job.chunks.keys.any { hub.isBusy(Keys.chunk(id, it)) }) return
+        if (tasks.isEmpty() || job.chunks.keys.any { hub.isBusy(StoreKeys.chunk(id, it)) }) return
         val all = if (job.isGang) job.allPlaced().map { it.index }.toList() else tasks
-        val sent = hub.commit(Cause.GANG, Settlement.write(job, job.stop(all), term))
+        val sent = hub.commit(Cause.GANG, TaskCompletion.write(job, job.stop(all), term))
         if (sent) log.info("job={} tasks={} term={} to stop: {}", id, all, term, why)
     }
 
@@ -57,7 +57,7 @@
     private class Reached(val address: String, val tenure: ULong)
 
     /** By what it last told us or, if that is newer, an earlier owner: a late copy may have been the first that we heard. */
-    private fun worker(book: HostBook): Reached? {
+    private fun worker(book: WorkerState): Reached? {
         val report = book.report
         val room = hub.world.lastRoom(book.host)?.takeIf { it.tenure > 0uL && it.address.isNotEmpty() }
         return when {
@@ -67,7 +67,7 @@
         }
     }
 
-    private fun quiet(book: HostBook): Boolean = hub.nowNs - book.reportNs > hub.settings.workers.reportS * QUIET_REPORTS * NS
+    private fun quiet(book: WorkerState): Boolean = hub.nowNs - book.reportNs > hub.settings.workers.reportS * QUIET_REPORTS * NS
 
     fun tick() {
         hosts.noteTerm()
--- a/src/main/kotlin/flaxfield/workers/WorkerDesk.kt
+++ b/src/main/kotlin/flaxfield/workers/ReportHandler.kt
@@ -5,24 +5,24 @@
 import flaxfield.fleet.FleetCodec
 import flaxfield.fleet.Machine
 import flaxfield.fleet.MachinePhase
-import flaxfield.jobs.Settlement
+import flaxfield.jobs.TaskCompletion
 import flaxfield.net.Body
 import flaxfield.net.Reply
-import flaxfield.node.Hub
-import flaxfield.peers.PeerDesk
+import flaxfield.node.NodeContext
+import flaxfield.peers.PeerGateway
 import flaxfield.store.Cause
 import flaxfield.store.Change
-import flaxfield.store.Keys
+import flaxfield.store.StoreKeys
 import flaxfield.store.Txn
 import org.slf4j.LoggerFactory
 
 /** Workers' reports and their orders. */
-class WorkerDesk(
-    private val hub: Hub,
-    private val settlement: Settlement,
-    private val peers: PeerDesk,
-    private val hosts: HostWatch,
-    private val stops: StopDesk,
+class ReportHandler(
+    private val hub: NodeContext,
+    private val settlement: TaskCompletion,
+    private val peers: PeerGateway,
+    private val hosts: WorkerHealth,
+    private val stops: HaltDispatcher,
 ) {
     private val renewal = Renewal(hub.settings.workers)
 
@@ -51,7 +51,7 @@
      * after a restart of all nodes, leases ran out on the way from node to node. Its owner then hears it under the
      * present epoch from the first report on.
      */
-    private fun notOurs(report: Report, book: HostBook, body: ByteArray, term: ULong, reply: Reply) {
+    private fun notOurs(report: Report, book: WorkerState, body: ByteArray, term: ULong, reply: Reply) {
         if (report.epoch < term && mayRenew()) return keepAlive(report, term, reply)
         val owner = hub.owner(report.host, report.site)
         val now = hub.nowNs
@@ -122,7 +122,7 @@
      * outlive `cancel_s`: the state service refused one controller, another confirmed cancellations, then it was out for
      * all, and the first kept the tasks alive beyond it.
      */
-    private fun renew(report: Report, book: HostBook, epoch: ULong, orders: List<Order>, reply: Reply) {
+    private fun renew(report: Report, book: WorkerState, epoch: ULong, orders: List<Order>, reply: Reply) {
         if (!mayRenew()) return reply.send(503, error("the view is too old"), RETRY_S)
         book.halting = book.halting.answered(report, orders.filterIsInstance<Order.Halt>().filter { overdue(it.job) })
         if (book.halting.helpless) {
@@ -150,7 +150,7 @@
 
     private fun steward(owner: String?, reply: Reply) = reply.send(421, Body(Wire.encode(mapOf("steward" to owner)), Body.CBOR), null)
 
-    private fun own(report: Report, book: HostBook, term: ULong, reply: Reply) {
+    private fun own(report: Report, book: WorkerState, term: ULong, reply: Reply) {
         // Our lease may be over while others already act under a newer term: no decisions, and not for ever.
         if (!hub.leaseValid()) return keepAlive(report, term, reply)
         val last = book.report
@@ -190,7 +190,7 @@
 
     /** A machine that we do not know is taken in: a rental may be executed after we gave up on its answer. */
     private fun adopt(report: Report) {
-        val key = Keys.HOST + report.host
+        val key = StoreKeys.HOST + report.host
         if (hosts.isGone(report.host) || hub.isBusy(key)) return
         val machine = Machine(
             report.host,
@@ -202,12 +202,12 @@
             null,
             0uL,
         )
-        val conditions = Settlement.fence(hub) + (key to 0uL)
+        val conditions = TaskCompletion.fence(hub) + (key to 0uL)
         hub.commit(Cause.FLEET, Txn(conditions, listOf(Change.Put(key, FleetCodec.encode(machine)))))
         log.info("host={} unknown, adopted", report.host)
     }
 
-    private fun learn(report: Report, book: HostBook) {
+    private fun learn(report: Report, book: WorkerState) {
         val cache = hub.world.flavors[report.flavor]?.cacheGb ?: return
         for (t in report.tasks) {
             if (t.state == TaskState.PULLING || t.state == TaskState.ENDED && t.cause != EndCause.DONE) continue
--- a/src/main/kotlin/flaxfield/workers/HostWatch.kt
+++ b/src/main/kotlin/flaxfield/workers/WorkerHealth.kt
@@ -3,12 +3,12 @@
 import flaxfield.arrays.HostState
 import flaxfield.jobs.Job
 import flaxfield.jobs.TaskEvent
-import flaxfield.node.Hub
+import flaxfield.node.NodeContext
 import org.slf4j.LoggerFactory
 
 /** What this process has seen of machines, and how those of its part stand: silent, faulty, deaf, or well. */
-class HostWatch(private val hub: Hub) {
-    private val books = HashMap<String, HostBook>()
+class WorkerHealth(private val hub: NodeContext) {
+    private val books = HashMap<String, WorkerState>()
 
     /**
      * Hosts whose keys have been dropped, and when: names are never used again, so late news of them is ignored. Kept
@@ -25,7 +25,7 @@
     private val heardNs = HashMap<String, Long>()
 
     /** A report under our term has come: a sign of life of the machine, and of its zone. */
-    fun alive(book: HostBook, site: String) {
+    fun alive(book: WorkerState, site: String) {
         book.reportNs = hub.nowNs
         heardNs[site] = book.reportNs
     }
@@ -33,7 +33,7 @@
     fun isGone(host: String): Boolean = host in gone
 
     /** Notes what a task's end says of its machine. */
-    fun blame(e: TaskEvent, book: HostBook) {
+    fun blame(e: TaskEvent, book: WorkerState) {
         if (e is TaskEvent.Done && !book.failures.none) book.failures = Failures()
         if (e !is TaskEvent.Left || !e.failed) return
         if (book.failures.none) log.info("host={} job={} task={} failed: machine or job, its next try tells", e.host, e.job, e.index)
@@ -42,7 +42,7 @@
     }
 
     /** Whether the failures on a machine are its own. */
-    private fun blamed(book: HostBook): Blame {
+    private fun blamed(book: WorkerState): Blame {
         if (book.failures.none) return Blame.NONE
         val blame = book.failures.blame(book.host, hub.nowNs) { id ->
             hub.world.jobs[id]?.takeIf { !it.cancelled }?.let { Failures.Trial(it.errorHosts, trialNs(it, book)) }
@@ -57,16 +57,16 @@
     }
 
     /** How long a job's next try may take to fail as well: its launch, its image, and some more. */
-    private fun trialNs(job: Job, book: HostBook): Long {
+    private fun trialNs(job: Job, book: WorkerState): Long {
         val rate = hub.world.flavors[book.report?.flavor]?.fetchGbPerS ?: 1.0
         return ((hub.settings.workers.leaseS + job.spec.pullGb / rate * TRIAL_FETCHES) * NS).toLong()
     }
 
     /** It gets no new work and is returned; its tasks move on the usual proofs. */
-    fun deaf(book: HostBook) {
+    fun deaf(book: WorkerState) {
         if (book.faulty != null) return
         val heard = books.values.filter { it.reportNs > ownerSinceNs }
-        if (heard.count { it.hearing.missed > 0 } > maxOf(1.0, heard.size * Hearing.MOST_DEAF)) return
+        if (heard.count { it.hearing.missed > 0 } > maxOf(1.0, heard.size * AnswerReachability.MOST_DEAF)) return
         book.faulty = "reports, and does not hear our answers"
         log.info("host={} taken as faulty: {}", book.host, book.faulty)
         hub.dirty = true
@@ -108,14 +108,14 @@
     }
 
     /** What we know of a machine that we have heard of, or null. */
-    fun known(host: String): HostBook? = books[host]
+    fun known(host: String): WorkerState? = books[host]
 
     /**
      * What we know of a machine; at first what its earlier owners' summaries knew. Without that, a takeover
      * forgot which images machines hold, and gangs waited for fetches that others would have been spared.
      */
-    fun book(host: String): HostBook = books.getOrPut(host) {
-        HostBook(host).also { b ->
+    fun book(host: String): WorkerState = books.getOrPut(host) {
+        WorkerState(host).also { b ->
             hub.world.lastRoom(host)?.let(b::inherit)
         }
     }
@@ -137,7 +137,7 @@
         if (ownerSinceNs != 0L) ownerSinceNs += gapNs
         for (b in books.values) {
             if (b.reportNs != 0L) b.reportNs += gapNs
-            b.hearing = Hearing()
+            b.hearing = AnswerReachability()
         }
         heardNs.replaceAll { _, at -> at + gapNs }
     }
--- a/src/main/kotlin/flaxfield/workers/HostBook.kt
+++ b/src/main/kotlin/flaxfield/workers/WorkerState.kt
@@ -5,7 +5,7 @@
 import flaxfield.arrays.RoomPages
 
 /** What this process has seen of one machine's worker. */
-class HostBook(val host: String) {
+class WorkerState(val host: String) {
     var report: Report? = null
 
     /** When a report that is a sign of life last came: one under the term of its time. */
@@ -23,7 +23,7 @@
     var halting = Halting()
 
     /** Whether our answers reach it. */
-    var hearing = Hearing()
+    var hearing = AnswerReachability()
     var pushedNs: Long = 0
     var redirectedNs: Long = 0
 
--- a/src/test/kotlin/flaxfield/Samples.kt
+++ b/src/test/kotlin/flaxfield/Samples.kt
@@ -1,7 +1,7 @@
 package flaxfield
 
 import flaxfield.arrays.Seat
-import flaxfield.fleet.Flavor
+import flaxfield.fleet.MachineType
 import flaxfield.fleet.Machine
 import flaxfield.fleet.MachinePhase
 import flaxfield.jobs.Chunk
@@ -54,7 +54,7 @@
     ) = Seat(machine(name, site, lendable), 1uL, free, images, true)
 
     fun flavor(label: String, room: Room, rate: Double, low: Double, sites: List<String> = listOf("a", "b")) =
-        Flavor(label, room, 100.0, 1.0, rate, low, 30.0, sites)
+        MachineType(label, room, 100.0, 1.0, rate, low, 30.0, sites)
 
     /** A controller on its own, with a lease of 6 s for its workers. */
     fun settings(): Settings {
--- a/src/test/kotlin/flaxfield/fleet/FleetRulesTest.kt
+++ b/src/test/kotlin/flaxfield/fleet/FleetRulesTest.kt
@@ -154,7 +154,7 @@
     fun `machines, hires and types survive the store`() {
         val m = Samples.machine("h").copy(claim = Claim("job-1", ULong.MAX_VALUE, 3, true, 7), phase = MachinePhase.RETIRING)
         assertEquals(m, FleetCodec.machine(Wire.decode(Wire.encode(FleetCodec.encode(m))), "live/host/h", m.stamp))
-        val h = Hire("n-1", "big", "a", true, 4, 9, 2uL)
+        val h = Rental("n-1", "big", "a", true, 4, 9, 2uL)
         assertEquals(h, FleetCodec.hire(Wire.decode(Wire.encode(FleetCodec.encode(h))), "live/hire/n-1", 2uL))
         assertEquals(flavors, FleetCodec.flavors(Wire.decode(Wire.encode(FleetCodec.encodeFlavors(flavors.values, 5)))))
     }
@@ -169,7 +169,7 @@
 
     @Test
     fun `only machines that nobody knows are strangers, whenever they were listed as such`() {
-        val s = Strangers()
+        val s = UnknownMachines()
         s.listed(listOf("h1", "h2", "h3"), known = setOf("h3"), nowNs = 10)
         s.listed(listOf("h1", "h2", "h4"), known = setOf("h3"), nowNs = 20)
         val table = listOf(
--- a/src/test/kotlin/flaxfield/jobs/OverDeskTest.kt
+++ b/src/test/kotlin/flaxfield/jobs/FinishedJobLookupTest.kt
@@ -6,17 +6,17 @@
 import flaxfield.net.Answer
 import flaxfield.net.Calls
 import flaxfield.node.Clock
-import flaxfield.node.Hub
+import flaxfield.node.NodeContext
 import flaxfield.settings.OperatorSettings
-import flaxfield.store.Keys
+import flaxfield.store.StoreKeys
 import flaxfield.store.StoreClient
-import flaxfield.store.World
+import flaxfield.store.ClusterView
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 
 /** Each poll for an id that nobody submitted was a read of its own: a flood of them used up the node's requests. */
-class OverDeskTest {
+class FinishedJobLookupTest {
     private var nowMs = 10_000L
     private val clock = object : Clock {
         override fun steadyNs() = nowMs * 1_000_000
@@ -34,7 +34,7 @@
             val answer = when {
                 !serves -> null
                 path == "/txn" -> {
-                    val there = Wire.decode(body ?: ByteArray(0)).objs("when").map { it.needText("k") }.filter { it == Keys.OVER + "job-7" }
+                    val there = Wire.decode(body ?: ByteArray(0)).objs("when").map { it.needText("k") }.filter { it == StoreKeys.OVER + "job-7" }
                     Answer(if (there.isEmpty()) 200 else 409, Wire.encode(mapOf("failed" to there, "ledger" to 5)))
                 }
                 else -> Answer(200, Wire.encode(mapOf("value" to JobCodec.encodeFinished(Finished("job-7", aborted = false, done = 3)))))
@@ -42,9 +42,9 @@
             done(answer)
         }
     }
-    private val hub = Hub(Samples.settings(), OperatorSettings(), Member("n-0", "r", "a"), clock, StoreClient(state, state, 1), World()) { it() }
+    private val hub = NodeContext(Samples.settings(), OperatorSettings(), Member("n-0", "r", "a"), clock, StoreClient(state, state, 1), ClusterView()) { it() }
     private val kept = ArrayList<String>()
-    private val desk = OverDesk(hub) { kept += it.id }
+    private val desk = FinishedJobLookup(hub) { kept += it.id }
 
     private fun answerAll() {
         while (true) (open.removeFirstOrNull() ?: return)()
@@ -65,7 +65,7 @@
         answerAll()
         assertEquals(listOf("job-1 Absent", "job-2 Absent", "job-2 Absent", "job-7 Known").sorted(), got.sorted())
         // The first went alone, all that came meanwhile together.
-        assertEquals(listOf("/txn", "/txn", "/keys/" + Keys.OVER + "job-7"), asked)
+        assertEquals(listOf("/txn", "/txn", "/keys/" + StoreKeys.OVER + "job-7"), asked)
         assertEquals(listOf("job-7"), kept)
     }
 
--- a/src/test/kotlin/flaxfield/jobs/JobTest.kt
+++ b/src/test/kotlin/flaxfield/jobs/JobTest.kt
@@ -5,7 +5,7 @@
 import flaxfield.codec.MalformedException
 import flaxfield.codec.Wire
 import flaxfield.settings.StateLimits
-import flaxfield.store.Keys
+import flaxfield.store.StoreKeys
 import flaxfield.store.Sizes
 import flaxfield.store.Txn
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -99,9 +99,9 @@
     @Test
     fun `proofs settle only the attempt they are about`() {
         val job = Samples.job().on(0 to "host-1", 1 to "host-1")
-        assertSame(job, Settle.apply(job, listOf(TaskEvent.Done("job-1", 0, 99)), 0, 0))
-        assertTrue(Settle.apply(job, listOf(TaskEvent.Done("job-1", 0, 1)), 0, 0).isDone(0))
-        val left = Settle.apply(job, listOf(TaskEvent.Left("job-1", 1, 1, "host-1", "stopped", false)), 0, 0)
+        assertSame(job, CompletionRules.apply(job, listOf(TaskEvent.Done("job-1", 0, 99)), 0, 0))
+        assertTrue(CompletionRules.apply(job, listOf(TaskEvent.Done("job-1", 0, 1)), 0, 0).isDone(0))
+        val left = CompletionRules.apply(job, listOf(TaskEvent.Left("job-1", 1, 1, "host-1", "stopped", false)), 0, 0)
         assertNull(left.placed(1))
         assertFalse(left.isDone(1))
         assertEquals(0, left.errors)
@@ -110,8 +110,8 @@
     @Test
     fun `one done task completes a gang, one lost task stops it`() {
         val gang = Samples.job(Samples.spec(shape = Shape.GANG, shards = 3)).on(0 to "host-1", 1 to "host-2", 2 to "host-3")
-        assertTrue(Settle.apply(gang, listOf(TaskEvent.Done("job-1", 1, 1)), 0, 0).complete)
-        val broken = Settle.apply(gang, listOf(TaskEvent.Left("job-1", 1, 1, "host-2", "mates_gone", false)), 0, 0)
+        assertTrue(CompletionRules.apply(gang, listOf(TaskEvent.Done("job-1", 1, 1)), 0, 0).complete)
+        val broken = CompletionRules.apply(gang, listOf(TaskEvent.Left("job-1", 1, 1, "host-2", "mates_gone", false)), 0, 0)
         assertEquals(listOf(true, true), broken.allPlaced().map { it.stopping }.toList())
     }
 
@@ -120,7 +120,7 @@
         var job = Samples.job(Samples.spec(shards = 1))
         val waits = (1..9).map { n ->
             job =
-                Settle.apply(
+                CompletionRules.apply(
                     job.on(0 to "host-$n"),
                     listOf(TaskEvent.Left("job-1", 0, job.chunk(0).next, "host-$n", "error", true)),
                     1_000,
@@ -136,7 +136,7 @@
     fun `a job's records fit the state service's values at any size`() {
         for (valueKb in listOf(4.0, 16.0, 32.0)) {
             val limits = StateLimits(150.0, 30.0, valueKb, 24)
-            val size = JobDesk.chunkTasks(limits)
+            val size = JobRequestHandler.chunkTasks(limits)
             val spec = Samples.spec(id = "job-" + "9".repeat(18), shards = 100_000)
             val job = Samples.job(spec, chunkTasks = size).copy(errorHosts = List(8) { "host-00000$it" })
             val spread = (0 until size * 40).associateWith { Job.Host("host-%06d".format(it), 9uL) }
@@ -144,9 +144,9 @@
             // Every other task done: the most ranges. What a proof or a placement may change at once fits as well.
             val half = full.finish((0 until size * 40 step 2).toList())
             for (j in listOf(full, half)) {
-                val chunks = j.chunks.keys.sorted().take(Settlement.chunksAtOnce(limits) + 1).toSet()
+                val chunks = j.chunks.keys.sorted().take(TaskCompletion.chunksAtOnce(limits) + 1).toSet()
                 val next = j.copy(chunks = j.chunks.mapValues { (n, c) -> if (n in chunks) c.copy(next = c.next + 1) else c })
-                assertNull(Sizes.fault(Settlement.write(j, next, 1uL), limits), "$valueKb KiB")
+                assertNull(Sizes.fault(TaskCompletion.write(j, next, 1uL), limits), "$valueKb KiB")
                 assertTrue(Sizes.json(JobCodec.encodeChunk(j.chunk(size * 39))) < valueKb * 1024)
             }
         }
@@ -156,17 +156,17 @@
     fun `parts that change different chunks of an array do not fail one another`() {
         // The head was written with each placement and each end: of three parts on one array all but one wrote in vain.
         val array = Samples.job(Samples.spec(shards = 24)).on(9 to "h")
-        val far = Settlement.write(array, array.on(17 to "g"), 5uL)
-        assertEquals(listOf(Keys.chunk("job-1", 2)), far.changes.map { it.key })
+        val far = TaskCompletion.write(array, array.on(17 to "g"), 5uL)
+        assertEquals(listOf(StoreKeys.chunk("job-1", 2)), far.changes.map { it.key })
         // A cancellation changes the head: whatever is decided on the job before it must fail.
-        assertEquals(array.stamp, far.conditions[Keys.JOB + "job-1"])
-        assertEquals(5uL, far.conditions[Keys.ASSIGNMENT])
-        val failed = Settle.apply(array, listOf(TaskEvent.Left("job-1", 9, 1, "h", "error", true)), 0, 0)
-        assertEquals(setOf(Keys.JOB + "job-1", Keys.chunk("job-1", 1)), keys(Settlement.write(array, failed, 5uL)))
+        assertEquals(array.stamp, far.conditions[StoreKeys.JOB + "job-1"])
+        assertEquals(5uL, far.conditions[StoreKeys.ASSIGNMENT])
+        val failed = CompletionRules.apply(array, listOf(TaskEvent.Left("job-1", 9, 1, "h", "error", true)), 0, 0)
+        assertEquals(setOf(StoreKeys.JOB + "job-1", StoreKeys.chunk("job-1", 1)), keys(TaskCompletion.write(array, failed, 5uL)))
         // Where one task may go depends on where the others are: their chunks must not change unnoticed.
         for (spec in listOf(Samples.spec(shards = 24, samePlace = true), Samples.spec(shards = 24, shape = Shape.GANG))) {
             val bound = Samples.job(spec)
-            assertEquals(setOf(Keys.JOB + "job-1", Keys.chunk("job-1", 2)), keys(Settlement.write(bound, bound.on(17 to "g"), 5uL)))
+            assertEquals(setOf(StoreKeys.JOB + "job-1", StoreKeys.chunk("job-1", 2)), keys(TaskCompletion.write(bound, bound.on(17 to "g"), 5uL)))
         }
     }
 
@@ -189,7 +189,7 @@
         assertTrue(failed(job, 2, 2).copy(retryAtMs = 500).comesLast(lateMs = 400))
         assertFalse(failed(job, 2, 2).copy(retryAtMs = 300).comesLast(lateMs = 400))
         val done = failed(job.on(0 to "a", 1 to "b"), 3, 3).finish(listOf(0))
-        assertEquals(0, Settle.apply(done, listOf(TaskEvent.Left("job-1", 1, 1, "b", "error", true)), 1_000, 100).retryAtMs)
+        assertEquals(0, CompletionRules.apply(done, listOf(TaskEvent.Left("job-1", 1, 1, "b", "error", true)), 1_000, 100).retryAtMs)
     }
 
     @Test
@@ -209,7 +209,7 @@
 
     @Test
     fun `a job has waited long once it had nothing on any machine for most of 90 s`() {
-        val waits = Waits()
+        val waits = StarvationTracker()
         val job = Samples.job()
         val mistaken = Samples.job().copy(errorHosts = listOf("h1", "h2"), errors = 2)
         waits.note(listOf(job), 0)
--- a/src/test/kotlin/flaxfield/net/DoorsTest.kt
+++ b/src/test/kotlin/flaxfield/net/ConnectionLimitsTest.kt
@@ -6,9 +6,9 @@
 import org.junit.jupiter.api.Test
 
 /** `fd_limit` was read and nothing held to it: with one controller left, its workers and users met the limit together. */
-class DoorsTest {
+class ConnectionLimitsTest {
     private val closed = ArrayList<String>()
-    private val doors = Doors<String>(SocketShares(incoming = 10, users = 4, usersLeast = 2, direct = 1, backlog = 5)) { closed += it }
+    private val doors = ConnectionLimits<String>(SocketShares(incoming = 10, users = 4, usersLeast = 2, direct = 1, backlog = 5)) { closed += it }
 
     private fun worker(name: String, now: Long = 0) = doors.entered(name, now) && doors.asked(name, user = false, now)
 
--- a/src/test/kotlin/flaxfield/sim/SimCluster.kt
+++ b/src/test/kotlin/flaxfield/sim/SimCluster.kt
@@ -15,7 +15,7 @@
 import flaxfield.settings.Settings
 import flaxfield.settings.StateLimits
 import flaxfield.settings.WorkerTimes
-import flaxfield.store.Keys
+import flaxfield.store.StoreKeys
 import flaxfield.codec.Wire as Cbor
 
 /** Three controllers against stand-ins, with up to [perZone] machines of each kind in each of two zones. */
@@ -114,13 +114,13 @@
         private set
 
     /** The controller that leads now, as the state service has it. */
-    val leader: Int get() = names.indexOf(state.text(Keys.LEADER, "name")).coerceAtLeast(0)
+    val leader: Int get() = names.indexOf(state.text(StoreKeys.LEADER, "name")).coerceAtLeast(0)
 
     private var leaderStamp = 0L
 
     /** To be called often: what was kept for the next leader is sent once there is one. */
     fun noteLeader() {
-        val now = state.stamp(Keys.LEADER)
+        val now = state.stamp(StoreKeys.LEADER)
         if (now == leaderStamp || now == 0L) return
         leaderStamp = now
         leaders++
--- a/src/test/kotlin/flaxfield/sim/SimulationTest.kt
+++ b/src/test/kotlin/flaxfield/sim/SimulationTest.kt
@@ -6,7 +6,7 @@
 import flaxfield.jobs.Shape
 import flaxfield.jobs.Urgency
 import flaxfield.settings.StateLimits
-import flaxfield.store.Keys
+import flaxfield.store.StoreKeys
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
@@ -126,7 +126,7 @@
         // A placement on its way takes room already: without that the next job was sent to the same place.
         assertTrue(c.rules.refusedStarts * 50 <= c.rules.starts, "${c.rules.refusedStarts} of ${c.rules.starts} starts refused")
         // Rentals of more machines than one write takes: a hire written in part stood as machines still to come.
-        assertEquals(emptySet<String>(), c.state.under(Keys.HIRE))
+        assertEquals(emptySet<String>(), c.state.under(StoreKeys.HIRE))
         assertTrue(c.cloud.rented > rentedLeast, "${c.cloud.rented} machines rented")
         assertTrue(c.state.refused * 50 < c.state.served, "${c.state.refused} of ${c.state.served} refused for their rate")
         val unfinished = users.filter { c.rules.told(it.spec.id) !in Rules.FINAL }
--- a/src/test/kotlin/flaxfield/store/StoreTest.kt
+++ b/src/test/kotlin/flaxfield/store/StoreTest.kt
@@ -25,42 +25,42 @@
 class StoreTest {
     private fun stored(map: Map<String, Any?>): Obj = Wire.decode(Wire.encode(map))
 
-    private fun put(job: Job, stamp: ULong) = Item(Keys.JOB + job.id, stored(JobCodec.encodeHead(job)), stamp)
+    private fun put(job: Job, stamp: ULong) = Item(StoreKeys.JOB + job.id, stored(JobCodec.encodeHead(job)), stamp)
 
     @Test
     fun `older news of a key is ignored, dropped ones too`() {
-        val w = World()
+        val w = ClusterView()
         w.apply(put(Samples.job().on(0 to "h"), 5uL))
         w.apply(put(Samples.job(), 4uL))
-        w.apply(Item(Keys.JOB + "job-1", null, 5uL))
+        w.apply(Item(StoreKeys.JOB + "job-1", null, 5uL))
         assertEquals(1, w.jobs["job-1"]?.placedCount)
-        w.apply(Item(Keys.JOB + "job-1", null, 6uL))
+        w.apply(Item(StoreKeys.JOB + "job-1", null, 6uL))
         assertEquals(0, w.jobs.size)
-        assertEquals(0uL, w.stamp(Keys.JOB + "job-1"))
+        assertEquals(0uL, w.stamp(StoreKeys.JOB + "job-1"))
     }
 
     @Test
     fun `chunks find their head in either order, and are strays after it`() {
         val big = Samples.job(Samples.spec(shards = 20)).on(0 to "h", 9 to "h", 17 to "g")
-        val part = Item(Keys.chunk("job-1", 1), stored(JobCodec.encodeChunk(big.chunk(9))), 3uL)
-        val far = Item(Keys.chunk("job-1", 2), stored(JobCodec.encodeChunk(big.chunk(17))), 3uL)
+        val part = Item(StoreKeys.chunk("job-1", 1), stored(JobCodec.encodeChunk(big.chunk(9))), 3uL)
+        val far = Item(StoreKeys.chunk("job-1", 2), stored(JobCodec.encodeChunk(big.chunk(17))), 3uL)
         for (items in listOf(listOf(put(big, 3uL), part, far), listOf(part, put(big, 3uL), far), listOf(far, part, put(big, 3uL)))) {
-            val w = World()
+            val w = ClusterView()
             items.forEach(w::apply)
             assertEquals(3, w.jobs["job-1"]?.placedCount)
             assertEquals(listOf(0, 9), w.on("h").map { it.placed.index }.sorted())
-            w.apply(Item(Keys.JOB + "job-1", null, 4uL))
+            w.apply(Item(StoreKeys.JOB + "job-1", null, 4uL))
             assertEquals(emptyList<OnHost>(), w.on("h"))
             assertEquals(setOf("job-1/1", "job-1/2"), w.strayChunks.keys)
-            w.apply(Item(Keys.chunk("job-1", 1), null, 5uL))
+            w.apply(Item(StoreKeys.chunk("job-1", 1), null, 5uL))
             assertEquals(setOf("job-1/2"), w.strayChunks.keys)
         }
     }
 
     @Test
     fun `free room is the type's less all records, old attempts included`() {
-        val w = World()
-        w.apply(Item(Keys.TYPES, stored(FleetCodec.encodeFlavors(listOf(Samples.flavor("big", Room(16.0, 4.0, 64.0), 8.0, 3.0)), 1)), 1uL))
+        val w = ClusterView()
+        w.apply(Item(StoreKeys.TYPES, stored(FleetCodec.encodeFlavors(listOf(Samples.flavor("big", Room(16.0, 4.0, 64.0), 8.0, 3.0)), 1)), 1uL))
         val m = Samples.machine("h")
         w.apply(put(Samples.job().on(0 to "h", 1 to "g", 2 to "h").stop(listOf(0)), 2uL))
         assertEquals(Room(8.0, 2.0, 32.0), w.free(m))
@@ -70,8 +70,8 @@
 
     @Test
     fun `a value that can't be read is left out`() {
-        val w = World()
-        w.apply(Item(Keys.JOB + "job-1", Obj(mapOf("spec" to 3)), 1uL))
+        val w = ClusterView()
+        w.apply(Item(StoreKeys.JOB + "job-1", Obj(mapOf("spec" to 3)), 1uL))
         assertEquals(0, w.jobs.size)
         w.apply(put(Samples.job(), 2uL))
         assertEquals(1, w.jobs.size)
@@ -142,7 +142,7 @@
 
     @Test
     fun `records by host follow each change of a job`() {
-        val w = World()
+        val w = ClusterView()
         w.apply(put(Samples.job().on(0 to "h", 1 to "h", 2 to "g"), 1uL))
         assertEquals(listOf(2, 1, 0), listOf("h", "g", "x").map { w.countOn(it, "job-1") })
         assertEquals(emptySet<String>(), w.halting)
@@ -151,7 +151,7 @@
         assertEquals(listOf(false, true, false), listOf("h", "g", "x").map(w::isEmpty))
         assertEquals(setOf("job-1"), w.halting)
         assertEquals(2.0, w.use(mapOf("red" to Samples.team("red"))).of("red").gpus)
-        w.apply(Item(Keys.JOB + "job-1", null, 3uL))
+        w.apply(Item(StoreKeys.JOB + "job-1", null, 3uL))
         assertEquals(listOf(true, true), listOf("h", "x").map(w::isEmpty))
         assertEquals(emptySet<String>(), w.halting)
         assertEquals(0.0, w.use(mapOf("red" to Samples.team("red"))).of("red").gpus)
@@ -164,17 +164,17 @@
             stored(RoomCodec.encode(RoomSummary(term.toULong(), hosts.associate { (h, s) -> h to HostRoom(s, 1uL, "", emptyList()) }))),
             stamp.toULong(),
         )
-        val w = World()
+        val w = ClusterView()
         val a = Member("a", "1", "north")
-        w.apply(Item(Keys.ASSIGNMENT, stored(MemberCodec.encode(a, listOf(a))), 7uL))
-        w.apply(page(Keys.room("a", 0), 7, 8, "h" to HostState.OK, "g" to HostState.OK))
-        w.apply(page(Keys.room("b", 0), 6, 9, "h" to HostState.SILENT))
+        w.apply(Item(StoreKeys.ASSIGNMENT, stored(MemberCodec.encode(a, listOf(a))), 7uL))
+        w.apply(page(StoreKeys.room("a", 0), 7, 8, "h" to HostState.OK, "g" to HostState.OK))
+        w.apply(page(StoreKeys.room("b", 0), 6, 9, "h" to HostState.SILENT))
         assertEquals(HostState.OK, w.hostRoom("h")?.state, "an older term's page comes late")
         // The page is split: the row appears in the new page before the old one is written without it.
-        w.apply(page(Keys.room("a", 1), 7, 10, "g" to HostState.NOTICE))
-        w.apply(page(Keys.room("a", 0), 7, 11, "h" to HostState.OK))
+        w.apply(page(StoreKeys.room("a", 1), 7, 10, "g" to HostState.NOTICE))
+        w.apply(page(StoreKeys.room("a", 0), 7, 11, "h" to HostState.OK))
         assertEquals(HostState.NOTICE, w.hostRoom("g")?.state)
-        w.apply(Item(Keys.ASSIGNMENT, stored(MemberCodec.encode(a, listOf(a))), 12uL))
+        w.apply(Item(StoreKeys.ASSIGNMENT, stored(MemberCodec.encode(a, listOf(a))), 12uL))
         assertEquals(null, w.hostRoom("h"))
         assertEquals(HostState.OK, w.lastRoom("h")?.state)
     }
@@ -183,9 +183,9 @@
     fun `a claim is void under another term, and once its gang is placed, cancelled or gone`() {
         val gang = Samples.job(Samples.spec(shape = Shape.GANG, shards = 2))
         val m = Samples.machine("h").copy(claim = Claim("job-1", 7uL, 1, false, 1))
-        fun held(job: Job?, term: Int = 7): Boolean = World().apply {
+        fun held(job: Job?, term: Int = 7): Boolean = ClusterView().apply {
             val a = Member("a", "1", "north")
-            apply(Item(Keys.ASSIGNMENT, stored(MemberCodec.encode(a, listOf(a))), term.toULong()))
+            apply(Item(StoreKeys.ASSIGNMENT, stored(MemberCodec.encode(a, listOf(a))), term.toULong()))
             if (job != null) apply(put(job, 8uL))
         }.claimOn(m) != null
         val placed = gang.on(0 to "h", 1 to "g")
--- a/src/test/kotlin/flaxfield/store/KnowledgeTest.kt
+++ b/src/test/kotlin/flaxfield/store/ViewFreshnessTest.kt
@@ -4,8 +4,8 @@
 import org.junit.jupiter.api.Test
 
 /** Workers' leases rest on it: contact was once taken for knowledge, and cancelled tasks outlived `cancel_s`. */
-class KnowledgeTest {
-    private class Row(val what: String, val want: Long?, val act: Knowledge.() -> Unit)
+class ViewFreshnessTest {
+    private class Row(val what: String, val want: Long?, val act: ViewFreshness.() -> Unit)
 
     @Test
     fun `knowledge is as old as the latest read that the view has reached was sent`() {
@@ -50,12 +50,12 @@
                 reached(9uL)
             },
         )
-        for (row in table) assertEquals(row.want, Knowledge().apply(row.act).sinceNs, row.what)
+        for (row in table) assertEquals(row.want, ViewFreshness().apply(row.act).sinceNs, row.what)
     }
 
     @Test
     fun `a process that never had a view keeps nothing alive`() {
-        val k = Knowledge()
+        val k = ViewFreshness()
         assertEquals(false, k.within(Long.MAX_VALUE, 0))
         k.read(10, 5uL)
         k.reached(5uL)
--- a/src/test/kotlin/flaxfield/training/FirstViewState.kt
+++ b/src/test/kotlin/flaxfield/training/FirstViewState.kt
@@ -6,7 +6,7 @@
 import flaxfield.arrays.RoomCodec
 import flaxfield.arrays.RoomSummary
 import flaxfield.fleet.FleetCodec
-import flaxfield.fleet.Flavor
+import flaxfield.fleet.MachineType
 import flaxfield.fleet.Machine
 import flaxfield.jobs.Job
 import flaxfield.jobs.JobCodec
@@ -14,7 +14,7 @@
 import flaxfield.settings.StateLimits
 import flaxfield.sim.SimCloud
 import flaxfield.sim.SimState
-import flaxfield.store.Keys
+import flaxfield.store.StoreKeys
 import flaxfield.codec.Wire as Cbor
 
 private const val JOBS = 200
@@ -44,16 +44,16 @@
 
 private fun records(): Map<String, Map<String, Any?>> = buildMap {
     val machines = List(MACHINES) { Samples.machine("host-%06d".format(it), site = if (it % 2 == 0) "a" else "b") }
-    put(Keys.TYPES, FleetCodec.encodeFlavors(listOf(flavor()), 0))
-    for (machine in machines) put(Keys.HOST + machine.name, FleetCodec.encode(machine))
-    for ((page, part) in machines.chunked(MACHINES_A_PAGE).withIndex()) put(Keys.room("n-0", page), RoomCodec.encode(summary(part)))
+    put(StoreKeys.TYPES, FleetCodec.encodeFlavors(listOf(flavor()), 0))
+    for (machine in machines) put(StoreKeys.HOST + machine.name, FleetCodec.encode(machine))
+    for ((page, part) in machines.chunked(MACHINES_A_PAGE).withIndex()) put(StoreKeys.room("n-0", page), RoomCodec.encode(summary(part)))
     for (number in 0 until JOBS) {
         val job = job(number, machines)
-        put(Keys.JOB + job.id, JobCodec.encodeHead(job))
+        put(StoreKeys.JOB + job.id, JobCodec.encodeHead(job))
     }
 }
 
-private fun flavor() = Flavor("big", SimCloud.ROOM, 100.0, 1.0, 8.0, 3.0, 30.0, listOf("a", "b"))
+private fun flavor() = MachineType("big", SimCloud.ROOM, 100.0, 1.0, 8.0, 3.0, 30.0, listOf("a", "b"))
 
 private fun summary(machines: List<Machine>) =
     RoomSummary(1uL, machines.associate { it.name to HostRoom(HostState.OK, 1uL, "10.1.0.1:9000", listOf("img-1", "img-2")) })
--- a/src/test/kotlin/flaxfield/workers/HearingTest.kt
+++ b/src/test/kotlin/flaxfield/workers/AnswerReachabilityTest.kt
@@ -4,7 +4,7 @@
 import org.junit.jupiter.api.Test
 
 /** A machine whose reports arrive while answers do not reach it looked alive, and kept what it was given for ever. */
-class HearingTest {
+class AnswerReachabilityTest {
     private val lease = 12e9
     private val launch = Order.Launch("job-1", 0, 1uL)
 
@@ -15,7 +15,7 @@
 
     /** [reports] arrive every 5 s; each is answered with the launch. Returns what speaks against the worker at the end. */
     private fun missed(reports: List<Report>, everyS: Double = 5.0): Int {
-        var h = Hearing()
+        var h = AnswerReachability()
         for ((k, r) in reports.withIndex()) {
             val now = ((k + 1) * everyS * 1e9).toLong()
             h = h.reported(r, 7uL, now, lease).answered(r, 7uL, listOf(launch), now)
@@ -40,12 +40,12 @@
         // It was cut off, and hears us again: its tenure lasts.
         assertEquals(0, missed(listOf(report(), report(tenure = 2)) + List(3) { report(tenure = 2) }, everyS = 8.0))
         assertEquals(0, missed(listOf(report(), report(tenure = 2)), everyS = 60.0))
-        assertEquals(listOf(false, true), listOf(3, 4).map { Hearing(missed = it).deaf })
+        assertEquals(listOf(false, true), listOf(3, 4).map { AnswerReachability(missed = it).deaf })
     }
 
     @Test
     fun `a new term starts anew`() {
-        val h = Hearing().answered(report(), 7uL, listOf(launch), 1).copy(missed = 3)
+        val h = AnswerReachability().answered(report(), 7uL, listOf(launch), 1).copy(missed = 3)
         assertEquals(0, h.reported(report(epoch = 7), 8uL, 2, lease).missed)
     }
 }
--- a/src/test/kotlin/flaxfield/workers/HostWatchTest.kt
+++ b/src/test/kotlin/flaxfield/workers/WorkerHealthTest.kt
@@ -10,16 +10,16 @@
 import flaxfield.members.MemberCodec
 import flaxfield.net.Calls
 import flaxfield.node.Clock
-import flaxfield.node.Hub
+import flaxfield.node.NodeContext
 import flaxfield.settings.OperatorSettings
 import flaxfield.store.Item
-import flaxfield.store.Keys
+import flaxfield.store.StoreKeys
 import flaxfield.store.StoreClient
-import flaxfield.store.World
+import flaxfield.store.ClusterView
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
 
-class HostWatchTest {
+class WorkerHealthTest {
     private var nowS = 100.0
     private val clock = object : Clock {
         override fun steadyNs() = (nowS * 1e9).toLong()
@@ -27,9 +27,9 @@
         override fun dayMs() = (nowS * 1e3).toLong()
     }
     private val me = Member("n-0", "run1", "a")
-    private val world = World()
+    private val world = ClusterView()
     private val silence = Calls { _, _, _, _, _ -> }
-    private val watch = HostWatch(Hub(Samples.settings(), OperatorSettings(), me, clock, StoreClient(silence, silence, 1), world) { it() })
+    private val watch = WorkerHealth(NodeContext(Samples.settings(), OperatorSettings(), me, clock, StoreClient(silence, silence, 1), world) { it() })
 
     private fun put(key: String, value: Map<String, Any?>, stamp: ULong) = world.apply(Item(key, Wire.decode(Wire.encode(value)), stamp))
 
@@ -42,8 +42,8 @@
     private fun states() = listOf("h1", "h2").map { watch.state(it) }
 
     init {
-        put(Keys.ASSIGNMENT, MemberCodec.encode(me, listOf(me)), 3uL)
-        for (h in listOf("h1", "h2")) put(Keys.HOST + h, FleetCodec.encode(Samples.machine(h)), 4uL)
+        put(StoreKeys.ASSIGNMENT, MemberCodec.encode(me, listOf(me)), 3uL)
+        for (h in listOf("h1", "h2")) put(StoreKeys.HOST + h, FleetCodec.encode(Samples.machine(h)), 4uL)
         watch.noteTerm()
         nowS += 1
         for (h in listOf("h1", "h2")) report(h)
@@ -66,7 +66,7 @@
     fun `a machine with a failure waits for the job's next try`() {
         fun fails(job: String, host: String) = watch.blame(TaskEvent.Left(job, 0, 1, host, "error", true), watch.book(host))
         fun job(id: String, vararg hosts: String) = Samples.job(Samples.spec(id = id)).copy(errorHosts = hosts.toList(), errors = hosts.size)
-            .let { put(Keys.JOB + id, JobCodec.encodeHead(it), 10uL + hosts.size.toULong()) }
+            .let { put(StoreKeys.JOB + id, JobCodec.encodeHead(it), 10uL + hosts.size.toULong()) }
         job("job-1", "h1")
         job("job-2")
         fails("job-1", "h1")
