--- a/tools/start-cost.sh
+++ b/tools/start-cost.sh
@@ -30,7 +30,7 @@
 
 # Waits until the log of a process holds a text.
 await() {
-    until grep -q "$3" "$2"; do
+    until grep -qs "$3" "$2"; do
         if ! kill -0 "$1" 2> /dev/null; then
             cat "$2" >&2
             exit 1
@@ -46,6 +46,7 @@
 for (( run = 1; run <= runs; run++ )); do
     log="$work/log"
     classes="$work/classes"
+    rm -f "$log"
     "$program" "-Xlog:class+load:file=$classes" "${arguments[@]}" "$work/settings.json" 2> "$log" > /dev/null &
     pid=$!
     await "$pid" "$log" 'serves on'
