--- a/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetDesk.kt
@@ -46,6 +46,7 @@
         if (hub.term() != termSeen) {
             termSeen = hub.term()
             termSinceNs = hub.nowNs
+            nextPlanNs = hub.nowNs + (hub.settings.workers.leaseS * FIRST_PLAN_SHARE * NS).toLong()
         }
         askFlavors()
         askHires()
@@ -308,6 +309,12 @@
         const val SURPLUS = "surplus"
         const val FLAVORS_S = 60.0
         const val PLAN_REPORTS = 0.4
+
+        /**
+         * The first plan under a term waits this share of a lease: until workers have reported it could only guess, and
+         * in a process that has just started it held up the leases of hundreds of them for two seconds.
+         */
+        const val FIRST_PLAN_SHARE = 0.2
         const val REFUSED_DOUBLINGS = 3
 
         /** PROTOCOL-flaxfield.md: at most so many machines a rental. */
--- a/src/main/kotlin/flaxfield/node/Controller.kt
+++ b/src/main/kotlin/flaxfield/node/Controller.kt
@@ -35,6 +35,8 @@
     val cloud: Calls,
     val worker: (Address) -> Calls,
     val peer: (Address, (PeerMessage) -> Unit) -> PeerLine,
+    /** Sends on its way what has waited for long to be sent. */
+    val flushLate: () -> Unit = {},
 )
 
 /** What the owner thread takes from its queue. */
@@ -55,7 +57,7 @@
     operator: OperatorSettings,
     incarnation: String,
     clock: Clock,
-    outside: Outside,
+    private val outside: Outside,
     /** Requests to workers that may be under way at once. */
     mostDirect: Int,
     post: (() -> Unit) -> Unit,
@@ -85,6 +87,7 @@
 
     private val decisions = Deferral((settings.workers.reportS * DEFER_REPORTS * NS_PER_S).toLong())
     private val fleetPlans = Deferral((settings.workers.reportS * DEFER_REPORTS * NS_PER_S).toLong())
+    private val slowDutyNs = (settings.workers.reportS * SLOW_DUTY_REPORTS * NS_PER_S).toLong()
     private var lastNs = 0L
     private var nextTickNs = 0L
     private var nextDecideNs = 0L
@@ -113,7 +116,8 @@
                 route(c.request)
                 val ns = System.nanoTime() - startNs
                 metrics.handled(requestKind(c.request.path), ns)
-                if (c.request.path == "/hello") hub.counts.spent("reports", ns) else hub.counts.spent("users", ns)
+                hub.counts.spent(if (c.request.path == "/hello") "reports" else "users", ns)
+                outside.flushLate()
             }
         }
     }
@@ -223,7 +227,10 @@
     private inline fun duty(name: String, block: () -> Unit) {
         val startNs = System.nanoTime()
         safely(block)
-        hub.counts.spent(name, System.nanoTime() - startNs)
+        val ns = System.nanoTime() - startNs
+        hub.counts.spent(name, ns)
+        if (ns > slowDutyNs) log.info("duty={} took {} ms: the process lacks processor time", name, ns / NS_PER_MS)
+        outside.flushLate()
     }
 
     /** No fault in one command ends the process. */
@@ -255,6 +262,9 @@
         /** Decisions wait for reports this long at most, in report intervals: a worker waits no longer for its orders. */
         private const val DEFER_REPORTS = 0.5
 
+        /** A duty that takes this many report intervals delays answers that workers wait for, and is named in the log. */
+        private const val SLOW_DUTY_REPORTS = 0.2
+
         /** How often a line in the log tells what the process has done so far. */
         private const val LOAD_LINE_S = 60.0
         private const val NS_PER_MS = 1_000_000L
--- a/src/main/kotlin/flaxfield/node/Node.kt
+++ b/src/main/kotlin/flaxfield/node/Node.kt
@@ -31,6 +31,7 @@
             cloud = HttpClient(loop, out, settings.cloud, 2),
             worker = { HttpClient(loop, out, it, 1, keep = false) },
             peer = { address, onMessage -> PeerClient(loop, out, address, onMessage) },
+            flushLate = out::flushLate,
         ),
         shares.direct,
     ) { block -> intake.follow(Command.Run(block)) }
