--- a/src/main/kotlin/flaxfield/workers/ReportHandler.kt
+++ b/src/main/kotlin/flaxfield/workers/ReportHandler.kt
@@ -1,5 +1,7 @@
 package flaxfield.workers
 
+import flaxfield.MILLIS_PER_SECOND
+import flaxfield.NANOS_PER_SECOND
 import flaxfield.codec.MalformedException
 import flaxfield.codec.Wire
 import flaxfield.fleet.FleetCodec
@@ -18,13 +20,13 @@
 
 /** Workers' reports and their orders. */
 class ReportHandler(
-    private val hub: NodeContext,
-    private val settlement: TaskCompletion,
+    private val context: NodeContext,
+    private val completion: TaskCompletion,
     private val peers: PeerGateway,
     private val hosts: WorkerHealth,
     private val stops: HaltDispatcher,
 ) {
-    private val renewal = Renewal(hub.settings.workers)
+    private val renewal = Renewal(context.settings.workers)
 
     fun report(body: ByteArray, reply: Reply) {
         val report = try {
@@ -32,12 +34,12 @@
         } catch (e: MalformedException) {
             return reply.send(400, error(e.message ?: "malformed"), null)
         }
-        val assignment = hub.world.assignment
-        val term = hub.term()
+        val assignment = context.view.assignment
+        val term = context.term()
         val book = hosts.book(report.host)
         when {
             assignment == null || report.epoch > assignment.term || term == null -> withoutTerm(report, reply)
-            hub.owns(report.host, report.site) -> own(report, book, term, reply)
+            context.owns(report.host, report.zone) -> own(report, book, term, reply)
             else -> notOurs(report, book, body, term, reply)
         }
     }
@@ -52,16 +54,20 @@
      * present epoch from the first report on.
      */
     private fun notOurs(report: Report, book: WorkerState, body: ByteArray, term: ULong, reply: Reply) {
-        if (report.epoch < term && mayRenew()) return keepAlive(report, term, reply)
-        val owner = hub.owner(report.host, report.site)
-        val now = hub.nowNs
-        val lease = hub.settings.workers.leaseS * NS
+        if (report.epoch < term && mayRenew()) {
+            book.greetedTerm = term
+            return keepAlive(report, term, reply)
+        }
+        val owner = context.owner(report.host, report.zone)
+        val now = context.nowNs
+        val lease = context.settings.workers.leaseS * NANOS_PER_SECOND
         val back = book.redirectedNs != 0L && now - book.redirectedNs < lease * RELAY_SHARE
-        val lost = report.epoch == term && (book.relayedNs == 0L || now - book.relayedNs < lease * RELAY_LEASES)
+        val lost = report.epoch == term && book.greetedTerm != term && (book.relayedNs == 0L || now - book.relayedNs < lease * RELAY_LEASES)
         if (!back && !lost) {
             book.redirectedNs = now
             book.relayedNs = 0L
-            return steward(owner, reply)
+            book.greetedTerm = null
+            return redirect(owner, reply)
         }
         if (book.relayedNs == 0L) book.relayedNs = now
         peers.relay(owner, body) { status, answer ->
@@ -76,8 +82,8 @@
         } catch (e: MalformedException) {
             return reply.send(400, error("malformed"), null)
         }
-        val term = hub.term()
-        if (term == null || report.epoch > term || !hub.owns(report.host, report.site)) return
+        val term = context.term()
+        if (term == null || report.epoch > term || !context.owns(report.host, report.zone)) return
         own(report, hosts.book(report.host), term, reply)
     }
 
@@ -88,13 +94,13 @@
      * seconds from the first view to the first term were what its lease lacked.
      */
     private fun withoutTerm(report: Report, reply: Reply) {
-        val behind = hub.world.assignment?.let { report.epoch > it.term } ?: false
+        val behind = context.view.assignment?.let { report.epoch > it.term } ?: false
         if (!behind && (stateAway() || nobodyLeads()) && mayRenew()) return keepAlive(report, report.epoch, reply)
-        val owner = hub.owner(report.host, report.site)
+        val owner = context.owner(report.host, report.zone)
         if (owner != null &&
-            owner != hub.me.name
+            owner != context.me.name
         ) {
-            steward(owner, reply)
+            redirect(owner, reply)
         } else {
             reply.send(421, Body(Wire.encode(emptyMap()), Body.CBOR), null)
         }
@@ -102,20 +108,20 @@
 
     /** Whether there has been an assignment whose leader is gone, and none since. */
     private fun nobodyLeads(): Boolean {
-        val assignment = hub.world.assignment ?: return false
-        return !assignment.leader.same(hub.world.leader)
+        val assignment = context.view.assignment ?: return false
+        return !assignment.leader.same(context.view.leader)
     }
 
-    private fun stateAway() = hub.nowNs - hub.stateOkNs > hub.settings.workers.leaseS * AWAY_SHARE * NS
+    private fun stateAway() = context.nowNs - context.stateOkNs > context.settings.workers.leaseS * AWAY_SHARE * NANOS_PER_SECOND
 
     /**
      * Answers without a decision. What is cancelled is halted all the same: a cancellation in the view is committed and
      * stays, so its halts need neither a lease nor a term of ours.
      */
     private fun keepAlive(report: Report, epoch: ULong, reply: Reply) =
-        renew(report, hosts.book(report.host), epoch, Orders.cancelled(report, hub.world.on(report.host)), reply)
+        renew(report, hosts.book(report.host), epoch, Orders.cancelled(report, context.view.on(report.host)), reply)
 
-    private fun mayRenew() = hub.knowledge.within(renewal.boundNs, hub.nowNs)
+    private fun mayRenew() = context.knowledge.within(renewal.boundNs, context.nowNs)
 
     /**
      * The only answer that renews a worker's lease. Not sent on a view so old that a cancellation unknown here could
@@ -146,27 +152,27 @@
 
     /** Whether a job was cancelled so long ago that only the end of a lease can still keep the promise. */
     private fun overdue(id: String): Boolean =
-        hub.world.jobs[id]?.cancelledMs?.let { hub.nowMs - it > renewal.boundS * MS } ?: false
+        context.view.jobs[id]?.cancelledMs?.let { context.nowMs - it > renewal.boundS * MILLIS_PER_SECOND } ?: false
 
-    private fun steward(owner: String?, reply: Reply) = reply.send(421, Body(Wire.encode(mapOf("steward" to owner)), Body.CBOR), null)
+    private fun redirect(owner: String?, reply: Reply) = reply.send(421, Body(Wire.encode(mapOf("steward" to owner)), Body.CBOR), null)
 
     private fun own(report: Report, book: WorkerState, term: ULong, reply: Reply) {
         // Our lease may be over while others already act under a newer term: no decisions, and not for ever.
-        if (!hub.leaseValid()) return keepAlive(report, term, reply)
+        if (!context.leaseValid()) return keepAlive(report, term, reply)
         val last = book.report
-        if (last != null && !report.newerThan(last.tenure, last.tally)) return keepAlive(report, term, reply)
-        book.hearing = book.hearing.reported(report, term, hub.nowNs, hub.settings.workers.leaseS * NS)
-        if (book.hearing.deaf) hosts.deaf(book)
-        if (last == null) book.firstNs = hub.nowNs
+        if (last != null && !report.newerThan(last.session, last.sequenceNumber)) return keepAlive(report, term, reply)
+        book.reachability = book.reachability.reported(report, term, context.nowNs, context.settings.workers.leaseS * NANOS_PER_SECOND)
+        if (book.reachability.deaf) hosts.deaf(book)
+        if (last == null) book.firstNs = context.nowNs
         book.report = report
         // Under an older epoch it may be a late copy of what the machine said long ago: no sign of life. Our
         // answer brings the worker the epoch, and it reports again at once.
-        if (report.epoch == term) hosts.alive(book, report.site)
-        if (last == null || last.tenure != report.tenure || last.warningS == null != (report.warningS == null)) {
-            log.info("host={} tenure={} warning_s={} reports to us, term={}", report.host, report.tenure, report.warningS, term)
-            hub.dirty = true
+        if (report.epoch == term) hosts.alive(book, report.zone)
+        if (last == null || last.session != report.session || last.warningS == null != (report.warningS == null)) {
+            log.info("host={} session={} warning_s={} reports to us, term={}", report.host, report.session, report.warningS, term)
+            context.dirty = true
         }
-        val machine = hub.world.machines[report.host]
+        val machine = context.view.machines[report.host]
         if (machine == null) {
             // A late copy may come from a machine that is long gone: only who knows our term is taken in.
             if (report.epoch == term) adopt(report)
@@ -175,15 +181,15 @@
         learn(report, book)
         if (log.isDebugEnabled) changes(last, report)
         if (report.warningS != null) stops.drain(report, term)
-        val records = hub.world.on(report.host)
+        val records = context.view.on(report.host)
         // What another node has just cancelled must not start here: launches need a view that moves on.
-        val mayLaunch = machine.phase != MachinePhase.RETIRING && hub.knowledge.within(renewal.freshNs, hub.nowNs)
+        val mayLaunch = machine.phase != MachinePhase.RETIRING && context.knowledge.within(renewal.freshNs, context.nowNs)
         val decision = Orders.decide(report, records, term, mayLaunch)
         for (e in decision.events) {
             hosts.blame(e, book)
-            settlement.add(e)
+            completion.add(e)
         }
-        book.hearing = book.hearing.answered(report, term, decision.orders, hub.nowNs)
+        book.reachability = book.reachability.answered(report, term, decision.orders, context.nowNs)
         if (log.isDebugEnabled) for (o in decision.orders) log.debug("host={} term={} order={}", report.host, term, o)
         renew(report, book, term, decision.orders, reply)
     }
@@ -191,30 +197,30 @@
     /** A machine that we do not know is taken in: a rental may be executed after we gave up on its answer. */
     private fun adopt(report: Report) {
         val key = StoreKeys.HOST + report.host
-        if (hosts.isGone(report.host) || hub.isBusy(key)) return
+        if (hosts.isGone(report.host) || context.isBusy(key)) return
         val machine = Machine(
             report.host,
-            report.flavor,
-            report.site,
-            report.lendable,
+            report.machineType,
+            report.zone,
+            report.preemptible,
             MachinePhase.UP,
-            hub.nowMs,
+            context.nowMs,
             null,
             0uL,
         )
-        val conditions = TaskCompletion.fence(hub) + (key to 0uL)
-        hub.commit(Cause.FLEET, Txn(conditions, listOf(Change.Put(key, FleetCodec.encode(machine)))))
+        val conditions = TaskCompletion.fence(context) + (key to 0uL)
+        context.commit(Cause.FLEET, Txn(conditions, listOf(Change.Put(key, FleetCodec.encode(machine)))))
         log.info("host={} unknown, adopted", report.host)
     }
 
     private fun learn(report: Report, book: WorkerState) {
-        val cache = hub.world.flavors[report.flavor]?.cacheGb ?: return
+        val cache = context.view.machineTypes[report.machineType]?.cacheGb ?: return
         for (t in report.tasks) {
             if (t.state == TaskState.PULLING || t.state == TaskState.ENDED && t.cause != EndCause.DONE) continue
-            val spec = hub.world.jobs[t.job]?.spec ?: continue
-            val new = spec.bundle !in book.images
-            book.hasImage(spec.bundle, spec.pullGb, cache)
-            if (new) hub.dirty = true
+            val spec = context.view.jobs[t.job]?.spec ?: continue
+            val new = spec.image !in book.images
+            book.hasImage(spec.image, spec.imageGb, cache)
+            if (new) context.dirty = true
         }
     }
 
@@ -233,8 +239,6 @@
 
     private companion object {
         val log = LoggerFactory.getLogger("flaxfield.workers")
-        const val NS = 1e9
-        const val MS = 1000.0
         const val RETRY_S = 1
 
         /** A worker that comes back within this share of its lease after being sent to its owner is relayed. */
--- a/src/main/kotlin/flaxfield/workers/WorkerHealth.kt
+++ b/src/main/kotlin/flaxfield/workers/WorkerHealth.kt
@@ -1,5 +1,6 @@
 package flaxfield.workers
 
+import flaxfield.NANOS_PER_SECOND
 import flaxfield.arrays.HostState
 import flaxfield.jobs.Job
 import flaxfield.jobs.TaskEvent
@@ -7,7 +8,7 @@
 import org.slf4j.LoggerFactory
 
 /** What this process has seen of machines, and how those of its part stand: silent, faulty, deaf, or well. */
-class WorkerHealth(private val hub: NodeContext) {
+class WorkerHealth(private val context: NodeContext) {
     private val books = HashMap<String, WorkerState>()
 
     /**
@@ -25,9 +26,9 @@
     private val heardNs = HashMap<String, Long>()
 
     /** A report under our term has come: a sign of life of the machine, and of its zone. */
-    fun alive(book: WorkerState, site: String) {
-        book.reportNs = hub.nowNs
-        heardNs[site] = book.reportNs
+    fun alive(book: WorkerState, zone: String) {
+        book.reportNs = context.nowNs
+        heardNs[zone] = book.reportNs
     }
 
     fun isGone(host: String): Boolean = host in gone
@@ -37,39 +38,39 @@
         if (e is TaskEvent.Done && !book.failures.none) book.failures = Failures()
         if (e !is TaskEvent.Left || !e.failed) return
         if (book.failures.none) log.info("host={} job={} task={} failed: machine or job, its next try tells", e.host, e.job, e.index)
-        book.failures = book.failures.failed(e.job, hub.nowNs)
-        hub.dirty = true
+        book.failures = book.failures.failed(e.job, context.nowNs)
+        context.dirty = true
     }
 
     /** Whether the failures on a machine are its own. */
     private fun blamed(book: WorkerState): Blame {
         if (book.failures.none) return Blame.NONE
-        val blame = book.failures.blame(book.host, hub.nowNs) { id ->
-            hub.world.jobs[id]?.takeIf { !it.cancelled }?.let { Failures.Trial(it.errorHosts, trialNs(it, book)) }
+        val blame = book.failures.blame(book.host, context.nowNs) { id ->
+            context.view.jobs[id]?.takeIf { !it.cancelled }?.let { Failures.Trial(it.errorHosts, trialNs(it, book)) }
         }
         if (blame == Blame.NONE) book.failures = Failures()
         if (blame == Blame.FAULTY) {
             book.faulty = "tasks fail here and not elsewhere"
             log.info("host={} taken as faulty: {}", book.host, book.faulty)
-            hub.dirty = true
+            context.dirty = true
         }
         return blame
     }
 
     /** How long a job's next try may take to fail as well: its launch, its image, and some more. */
     private fun trialNs(job: Job, book: WorkerState): Long {
-        val rate = hub.world.flavors[book.report?.flavor]?.fetchGbPerS ?: 1.0
-        return ((hub.settings.workers.leaseS + job.spec.pullGb / rate * TRIAL_FETCHES) * NS).toLong()
+        val rate = context.view.machineTypes[book.report?.machineType]?.fetchGbPerS ?: 1.0
+        return ((context.settings.workers.leaseS + job.spec.imageGb / rate * TRIAL_FETCHES) * NANOS_PER_SECOND).toLong()
     }
 
     /** It gets no new work and is returned; its tasks move on the usual proofs. */
     fun deaf(book: WorkerState) {
         if (book.faulty != null) return
         val heard = books.values.filter { it.reportNs > ownerSinceNs }
-        if (heard.count { it.hearing.missed > 0 } > maxOf(1.0, heard.size * AnswerReachability.MOST_DEAF)) return
+        if (heard.count { it.reachability.missed > 0 } > maxOf(1.0, heard.size * AnswerReachability.MOST_DEAF)) return
         book.faulty = "reports, and does not hear our answers"
         log.info("host={} taken as faulty: {}", book.host, book.faulty)
-        hub.dirty = true
+        context.dirty = true
     }
 
     /** How a machine that we own stands. */
@@ -93,17 +94,17 @@
 
     /** It has reported before, to us or to an earlier owner, or carries tasks: its silence means something. */
     private fun expected(host: String): Boolean = books[host]?.report != null ||
-        !hub.world.isEmpty(host) ||
-        hub.world.lastRoom(host)?.let { it.tenure > 0uL } ?: false
+        !context.view.isEmpty(host) ||
+        context.view.lastRoom(host)?.let { it.session > 0uL } ?: false
 
     private fun silent(host: String, sinceNs: Long): Boolean {
-        val lease = hub.settings.workers.leaseS * NS
-        val quiet = hub.nowNs - sinceNs
+        val lease = context.settings.workers.leaseS * NANOS_PER_SECOND
+        val quiet = context.nowNs - sinceNs
         if (quiet < lease * SILENT_SHARE) return false
         // If nobody of its zone reports, it is rather us who are cut off from there; but the last machines of a part
         // may be lost together, and their tasks must not wait for ever.
-        val site = hub.world.machines[host]?.site ?: books[host]?.report?.site.orEmpty()
-        val heard = hub.nowNs - (heardNs[site] ?: 0L) < hub.settings.workers.reportS * HEARD_REPORTS * NS
+        val zone = context.view.machines[host]?.zone ?: books[host]?.report?.zone.orEmpty()
+        val heard = context.nowNs - (heardNs[zone] ?: 0L) < context.settings.workers.reportS * HEARD_REPORTS * NANOS_PER_SECOND
         return heard || quiet > lease * SILENT_ALONE_SHARE
     }
 
@@ -116,7 +117,7 @@
      */
     fun book(host: String): WorkerState = books.getOrPut(host) {
         WorkerState(host).also { b ->
-            hub.world.lastRoom(host)?.let(b::inherit)
+            context.view.lastRoom(host)?.let(b::inherit)
         }
     }
 
@@ -125,10 +126,10 @@
      * owner. Counted from an earlier time, a takeover returned every machine it took over.
      */
     fun noteTerm() {
-        val term = hub.term()
+        val term = context.term()
         if (term == termSeen) return
         termSeen = term
-        ownerSinceNs = hub.nowNs
+        ownerSinceNs = context.nowNs
         for (b in books.values) b.pushedNs = 0
     }
 
@@ -137,7 +138,7 @@
         if (ownerSinceNs != 0L) ownerSinceNs += gapNs
         for (b in books.values) {
             if (b.reportNs != 0L) b.reportNs += gapNs
-            b.hearing = AnswerReachability()
+            b.reachability = AnswerReachability()
         }
         heardNs.replaceAll { _, at -> at + gapNs }
     }
@@ -145,8 +146,8 @@
     /** Forgets machines whose keys were dropped. */
     fun forget(host: String) {
         books.remove(host)
-        gone[host] = hub.nowNs
-        val before = hub.nowNs - (hub.settings.workers.leaseS * GONE_LEASES * NS).toLong()
+        gone[host] = context.nowNs
+        val before = context.nowNs - (context.settings.workers.leaseS * GONE_LEASES * NANOS_PER_SECOND).toLong()
         while (gone.isNotEmpty()) {
             val eldest = gone.entries.first()
             if (eldest.value >= before) break
@@ -156,7 +157,6 @@
 
     private companion object {
         val log = LoggerFactory.getLogger("flaxfield.workers")
-        const val NS = 1e9
 
         /** A worker silent for this share of its lease is taken as lost: its machine is returned. */
         const val SILENT_SHARE = 0.75
--- a/src/main/kotlin/flaxfield/workers/WorkerState.kt
+++ b/src/main/kotlin/flaxfield/workers/WorkerState.kt
@@ -23,18 +23,21 @@
     var halting = Halting()
 
     /** Whether our answers reach it. */
-    var hearing = AnswerReachability()
+    var reachability = AnswerReachability()
     var pushedNs: Long = 0
     var redirectedNs: Long = 0
 
+    /** The term that it first heard of here though another node is its owner; null once it has been sent there. */
+    var greetedTerm: ULong? = null
+
     /** Since when its reports are handed on to its owner; 0 if they are not. */
     var relayedNs: Long = 0
     var haltedNs: Long = 0
 
-    /** Notes that [bundle] is on the machine, and forgets what no longer fits its cache. */
-    fun hasImage(bundle: String, gb: Double, cacheGb: Double) {
-        images.remove(bundle)
-        images[bundle] = gb
+    /** Notes that [image] is on the machine, and forgets what no longer fits its cache. */
+    fun hasImage(image: String, gb: Double, cacheGb: Double) {
+        images.remove(image)
+        images[image] = gb
         while (images.size > 1 && images.values.sum() > cacheGb) images.remove(images.keys.first())
     }
 
@@ -44,5 +47,5 @@
     }
 
     fun room(state: HostState): HostRoom =
-        HostRoom(state, report?.tenure ?: 0uL, report?.address.orEmpty(), RoomPages.images(images.keys.toList()))
+        HostRoom(state, report?.session ?: 0uL, report?.address.orEmpty(), RoomPages.images(images.keys.toList()))
 }
--- /dev/null
+++ b/src/test/kotlin/flaxfield/fleet/FleetDemandTest.kt
@@ -0,0 +1,60 @@
+package flaxfield.fleet
+
+import flaxfield.Samples
+import flaxfield.codec.Wire
+import flaxfield.jobs.Job
+import flaxfield.jobs.JobCodec
+import flaxfield.jobs.Priority
+import flaxfield.jobs.Room
+import flaxfield.jobs.Shape
+import flaxfield.members.Member
+import flaxfield.net.Calls
+import flaxfield.node.Clock
+import flaxfield.node.NodeContext
+import flaxfield.settings.OperatorSettings
+import flaxfield.store.ClusterView
+import flaxfield.store.Item
+import flaxfield.store.StoreClient
+import flaxfield.store.StoreKeys
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+
+class FleetDemandTest {
+    private val clock = object : Clock {
+        override fun steadyNs() = 1L
+
+        override fun dayMs() = NOW_MS
+    }
+    private val silence = Calls { _, _, _, _, _ -> }
+
+    private fun gang(id: String, tasks: Int, priority: Priority, waitedS: Int): Job {
+        val spec = Samples.spec(id, Shape.GANG, tasks, priority, need = Room(12.0, 3.0, 40.0), preemptible = false)
+        return Samples.job(spec, atMs = NOW_MS - waitedS * 1_000L)
+    }
+
+    private fun demanded(jobs: List<Job>): List<String> {
+        val settings = Samples.settings().copy(teams = listOf(Samples.team("red", gpusMax = 10.0)).associateBy { it.name })
+        val view = ClusterView()
+        for (job in jobs) view.apply(Item(StoreKeys.JOB + job.id, Wire.decode(Wire.encode(JobCodec.encodeHead(job))), 1uL))
+        val store = StoreClient(silence, silence, 1)
+        val context = NodeContext(settings, OperatorSettings(), Member("n-0", "r", "a"), clock, store, view) { it() }
+        return FleetDemand(context).demands().map { it.spec.id }
+    }
+
+    @Test
+    fun `machines are rented first for the gang that room is gathered for`() {
+        // At the team's limit only one of the two can run. The scheduler kept all room for the larger one while machines
+        // were rented for the other: neither ever began.
+        val large = gang("job-12", tasks = 3, Priority.HIGH, waitedS = 60)
+        val urgent = gang("job-6", tasks = 2, Priority.PROD, waitedS = 60)
+        assertEquals(listOf("job-12"), demanded(listOf(urgent, large)))
+        // Not late yet: the order decides.
+        assertEquals(listOf("job-6"), demanded(listOf(urgent, gang("job-12", tasks = 3, Priority.HIGH, waitedS = 10))))
+        // Too large for its team's limit now: it keeps nothing from others.
+        assertEquals(listOf("job-6"), demanded(listOf(urgent, gang("job-12", tasks = 4, Priority.HIGH, waitedS = 60))))
+    }
+
+    private companion object {
+        const val NOW_MS = 1_000_000L
+    }
+}
