Limits below 4,000 machines: the cloud's list by pages at its rate, the owners' table

Cause, by reading: pages after the first were asked for at once, beside the rate: eight pages of 4,000 machines against a burst of four. The owners' table was emptied at each look-up once it held 4,000 names. Change: each page takes its request, returns go between pages; the table's bound grows with the fleet.

--- a/src/main/kotlin/flaxfield/fleet/MachineReturner.kt
+++ b/src/main/kotlin/flaxfield/fleet/MachineReturner.kt
@@ -17,8 +17,14 @@
     private val rate: CloudRate,
     private val completion: TaskCompletion,
 ) {
+    /** A page of the list has been asked for. */
     private var listOpen = false
+
+    /** The list that is being read; null between two lists. */
+    private var reading: ListSoFar? = null
     private var nextListNs = 0L
+    private class ListSoFar(val from: String?, val hosts: List<Listed>)
+
     private var returnOpen = false
     private val unknownMachines = UnknownMachines()
     private val failed = HashSet<String>()
@@ -29,43 +35,48 @@
     fun run() {
         dropGone()
         // The list first: it is asked for at its own pace, and behind returns and rentals it grew older than what it tells.
-        askList()
-        giveBack()
+        // Its further pages come after returns: a list of 4,000 machines has eight.
+        if (reading == null) {
+            askList()
+            giveBack()
+        } else {
+            giveBack()
+            askList()
+        }
     }
 
     /** This node leads no more: what it saw in lists is of no use to it. */
     fun forget() {
         unknownMachines.clear()
         gone.clear()
+        reading = null
         nextListNs = 0
     }
 
     /** Whether the cloud has listed [host] as stopped by itself. */
     fun failed(host: String): Boolean = host in failed
 
+    /** Asks for the next page. Each page is a request: asked for at once, those of a large fleet were refused for their rate. */
     private fun askList() {
-        if (listOpen || context.nowNs < nextListNs || !rate.allows(context.nowNs)) return
+        if (listOpen || reading == null && context.nowNs < nextListNs || !rate.allows(context.nowNs)) return
         listOpen = true
-        readList(null, ArrayList())
+        val before = reading ?: ListSoFar(null, emptyList())
+        cloud.list(before.from) { page -> context.post { read(before, page) } }
     }
 
-    private fun readList(from: String?, soFar: ArrayList<Listed>) {
-        cloud.list(from) { page ->
-            context.post {
-                if (page == null) {
-                    listOpen = false
-                    nextListNs = context.nowNs + (context.settings.listLagS * NANOS_PER_SECOND).toLong()
-                } else {
-                    soFar += page.hosts
-                    if (page.more && page.hosts.isNotEmpty()) readList(page.hosts.last().host, soFar) else listed(soFar)
-                }
-            }
+    private fun read(before: ListSoFar, page: ListPage?) {
+        listOpen = false
+        reading = null
+        if (page == null) {
+            nextListNs = context.nowNs + (context.settings.listLagS * NANOS_PER_SECOND).toLong()
+            return
         }
+        val hosts = before.hosts + page.hosts
+        if (page.more && page.hosts.isNotEmpty()) reading = ListSoFar(page.hosts.last().host, hosts) else listed(hosts)
     }
 
     /** The list lags, so it is a hint, but for `failed`: a machine that has stopped by itself stays so. */
     private fun listed(hosts: List<Listed>) {
-        listOpen = false
         nextListNs = context.nowNs + (context.settings.listLagS * LIST_LAGS * NANOS_PER_SECOND).toLong()
         for (l in hosts) {
             if (l.failed && l.host in context.view.machines) failed += l.host
--- a/src/main/kotlin/flaxfield/members/PartOwnership.kt
+++ b/src/main/kotlin/flaxfield/members/PartOwnership.kt
@@ -16,7 +16,7 @@
     /** The member whose part [host], which lies in [zone], belongs to; null without an assignment. */
     fun owner(host: String, zone: String): String? {
         val assignment = view.assignment ?: return null
-        if (assignment.term != ownersTerm || owners.size > OWNERS_KEPT) {
+        if (assignment.term != ownersTerm || owners.size > maxOf(OWNERS_KEPT, view.machines.size * OWNERS_PER_MACHINE)) {
             owners.clear()
             ownersTerm = assignment.term
             mineAt = NEVER
@@ -36,7 +36,10 @@
     private companion object {
         const val NEVER = -1L
 
-        /** Names heard of and not known are forgotten with the rest at this many. */
+        /** Names heard of and not known are forgotten with the rest at this many, */
         const val OWNERS_KEPT = 4_000
+
+        /** or at this many for each known machine: below that the table was made anew at each look-up of a larger fleet. */
+        const val OWNERS_PER_MACHINE = 2
     }
 }
