Tasks that save make way before those that never do

Three gangs of its team waited for more than the team's limit, so its arrays had one task each at a time; a gang then took the place of its task, which never saves, after 27 s, beside tasks of the same priority that save. Change: of one priority, tasks that save are stopped first.

--- a/src/main/kotlin/flaxfield/arrays/MachineDrainer.kt
+++ b/src/main/kotlin/flaxfield/arrays/MachineDrainer.kt
@@ -3,6 +3,7 @@
 import flaxfield.fleet.MachinePhase
 import flaxfield.node.NodeContext
 import flaxfield.quota.JobOrder
+import flaxfield.store.OnHost
 import flaxfield.workers.HaltDispatcher
 
 /** Clears machines of this node's part: those that are to be returned, and those claimed for more urgent gangs. */
@@ -39,7 +40,7 @@
             for (r in on) if (r.placed.stopping || r.job.cancelled) free += r.job.spec.need
             val victims = on.filter {
                 !it.placed.stopping && !it.job.isGang && JobOrder.mayPreempt(gang, gang.id in guaranteed, it.job, use)
-            }.sortedWith(compareBy({ it.job.spec.priority }, { -it.job.submittedMs }))
+            }.sortedWith(EvictionOrder)
             val chosen = ArrayList<Pair<String, Int>>()
             for (v in victims) {
                 if (free.holds(want)) break
@@ -52,3 +53,13 @@
         }
     }
 }
+
+/**
+ * Which task makes way first: the least urgent, then one that saves its progress, then the latest. A task that never saves
+ * began anew each time: an idle array of three such tasks was at work for six minutes beside arrays that would have lost nothing.
+ */
+object EvictionOrder : Comparator<OnHost> {
+    private val order = compareBy<OnHost>({ it.job.spec.priority }, { it.job.spec.saveEveryS <= 0.0 }, { -it.job.submittedMs })
+
+    override fun compare(a: OnHost, b: OnHost): Int = order.compare(a, b)
+}
--- /dev/null
+++ b/src/test/kotlin/flaxfield/arrays/EvictionOrderTest.kt
@@ -0,0 +1,27 @@
+package flaxfield.arrays
+
+import flaxfield.Samples
+import flaxfield.Samples.on
+import flaxfield.jobs.Priority
+import flaxfield.store.OnHost
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+
+class EvictionOrderTest {
+    private fun task(id: String, atMs: Long, saves: Boolean, priority: Priority = Priority.IDLE): OnHost {
+        val job = Samples.job(Samples.spec(id = id, saveEveryS = if (saves) 5.0 else 0.0, priority = priority), atMs).on(0 to "h")
+        return OnHost(job, checkNotNull(job.placed(0)))
+    }
+
+    @Test
+    fun `the least urgent makes way first, then what saves, then the latest`() {
+        val tasks = listOf(
+            task("job-1", 10, saves = true, priority = Priority.STANDARD),
+            task("job-2", 40, saves = false),
+            task("job-3", 20, saves = true),
+            task("job-4", 30, saves = true),
+            task("job-5", 50, saves = false, priority = Priority.STANDARD),
+        )
+        assertEquals(listOf("job-4", "job-3", "job-2", "job-1", "job-5"), tasks.sortedWith(EvictionOrder).map { it.job.id })
+    }
+}
