--- a/src/main/kotlin/flaxfield/cli/Main.kt
+++ b/src/main/kotlin/flaxfield/cli/Main.kt
@@ -16,6 +16,9 @@
 private const val EXIT_USAGE = 2
 private const val EXIT_FAULT = 3
 
+/** The first words of the clients' commands. */
+private val OPERATOR_COMMANDS = setOf("drain", "budget", "machines", "explain")
+
 /** The command line; the model is built by hand, since annotations would cost reflection at every start. */
 fun commandLine(): CommandLine {
     val serve = CommandSpec.create().name("serve")
@@ -28,9 +31,14 @@
         OptionSpec.builder("--properties").paramLabel("FILE").type(String::class.java)
             .description("the operators' own settings").build(),
     )
+    serve.addOption(
+        OptionSpec.builder("--fleet").paramLabel("FILE").type(String::class.java)
+            .description("the operators' fleet file: budgets, repeat policies and where operators are served").build(),
+    )
     serve.addHelp()
     val root = CommandSpec.create().name("flaxfield").version("flaxfield $VERSION")
     root.usageMessage().description("A cluster scheduler that places gangs all-or-nothing and arrays by parts.")
+    root.usageMessage().footer("Operators' commands, each with its own --help: drain, budget, machines, explain.")
     root.addHelp()
     root.addSubcommand("serve", serve)
     serve.version("flaxfield $VERSION")
@@ -44,6 +52,8 @@
 }
 
 fun main(args: Array<String>) {
+    // The clients' commands are not even looked at by a start of the service.
+    if (args.firstOrNull() in OPERATOR_COMMANDS) exitProcess(OperatorJar.entry().command(args))
     setUpLogs(System.getenv("LOG_LEVEL"))
     val line = commandLine()
     val parsed = try {
@@ -58,6 +68,8 @@
         val properties: String? = serve.matchedOptionValue("--properties", null)
         val operator = if (properties == null) OperatorSettings() else OperatorSettings.load(properties)
         ClassDataArchive.warning(System.getProperty("java.vm.info"))?.let { LoggerFactory.getLogger("flaxfield.cli").warn(it) }
+        val fleet: String? = serve.matchedOptionValue("--fleet", null)
+        if (fleet != null) OperatorJar.entry().serve(settings, operator, incarnation(), fleet)
         Node(settings, operator, incarnation()).serve()
     } catch (e: MalformedException) {
         fail(e.message ?: "bad settings")
--- a/src/main/kotlin/flaxfield/drain/FleetControl.kt
+++ b/src/main/kotlin/flaxfield/drain/FleetControl.kt
@@ -17,14 +17,22 @@
     /** The cluster as this node knows it. */
     val publisher = SnapshotPublisher(context.view).also { context.view.observer = it }
 
-    /** Takes operators' orders. */
-    val orders = DrainOrders(context)
+    private val orders = DrainOrders(context)
     private val drains = DrainReconciler(context)
     private val restores = RestoreReconciler(context, parts.health)
     private val gapNs = (context.settings.workers.reportS * GAP_REPORTS * NANOS_PER_SECOND).toLong()
     private var nextNs = 0L
     private var marks = 0L
 
+    /**
+     * Takes an operator's order; [done] is called on the owner thread. Not before the view is complete: on the empty one of a
+     * process that has just started, every machine, zone and drain was called unknown.
+     */
+    fun order(order: DrainOrder, done: (OrderResult) -> Unit) {
+        if (!publisher.complete) return done(OrderResult.Refused(OrderFault.UNAVAILABLE, "this node is reading its view"))
+        orders.take(order, publisher.current, done)
+    }
+
     /** From here on [config] is what this node publishes as its file. Safe from any thread. */
     fun reload(config: FleetConfig) {
         this.config = config
--- a/src/main/kotlin/flaxfield/members/MembershipManager.kt
+++ b/src/main/kotlin/flaxfield/members/MembershipManager.kt
@@ -19,7 +19,21 @@
 
     private val ttlMs = (context.settings.workers.leaseS * TTL_SHARE * MILLIS_PER_SECOND).toLong()
 
+    /** This process is about to end: it asks for no lease any more. */
+    private var leaving = false
+
+    /** Ends the lease and with it membership and leadership; [done] once the state service has answered, or at once without one. */
+    fun leave(done: () -> Unit) {
+        leaving = true
+        context.leaseUntilNs = 0
+        val held = lease ?: return done()
+        lease = null
+        log.info("lease={} given back", held)
+        context.store.release(held) { context.post(done) }
+    }
+
     fun tick() {
+        if (leaving) return
         val now = context.nowNs
         if (!asking && now >= nextRenewNs) renew(now)
         if (lease != null && context.leaseValid() && !stepOpen && now >= nextStepNs) step(now)
@@ -39,6 +53,7 @@
 
     private fun granted(sentNs: Long, got: ULong?) {
         asking = false
+        if (leaving) return
         if (got == null) {
             retrySoon()
             return
@@ -50,6 +65,7 @@
 
     private fun extended(sentNs: Long, status: Int) {
         asking = false
+        if (leaving) return
         when (status) {
             OK -> valid(sentNs)
             NOT_FOUND -> {
--- a/src/main/kotlin/flaxfield/node/Controller.kt
+++ b/src/main/kotlin/flaxfield/node/Controller.kt
@@ -102,6 +102,9 @@
 
     fun start() = follower.start()
 
+    /** Decides nothing any more and ends the process's lease, so that others take over at once; [done] when that is told. */
+    fun leave(done: () -> Unit) = members.leave(done)
+
     fun refused() = metrics.refused()
 
     /**
--- a/src/main/kotlin/flaxfield/node/Node.kt
+++ b/src/main/kotlin/flaxfield/node/Node.kt
@@ -13,6 +13,8 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.nio.NioEventLoopGroup
 import org.slf4j.LoggerFactory
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 
 /** One controller process: the network, the queue and the owner thread around a [Controller]. */
 class Node(
@@ -42,6 +44,30 @@
         subsystem,
     ) { block -> intake.follow(Command.Run(block)) }
 
+    @Volatile
+    private var stopping = false
+
+    /** Hands [block] to the owner thread; safe from any thread. */
+    fun post(block: () -> Unit) {
+        intake.follow(Command.Run(block))
+    }
+
+    /**
+     * Takes no new requests, gives this process's part away, and returns once what was queued has been answered, after
+     * [withinMs] at the latest. Called from another thread while the owner thread goes on.
+     */
+    fun stop(withinMs: Long) {
+        stopping = true
+        val left = CountDownLatch(1)
+        post { controller.leave(left::countDown) }
+        left.await(withinMs, TimeUnit.MILLISECONDS)
+        val answered = CountDownLatch(1)
+        post { answered.countDown() }
+        answered.await(withinMs, TimeUnit.MILLISECONDS)
+        // The answers of the last batch are flushed after it.
+        Thread.sleep(LINGER_MS * 2)
+    }
+
     /** Binds both addresses, then runs as the owner thread until the process ends. */
     fun serve(): Nothing {
         HttpServer(loop, out, shares, settings.workers.leaseS, ::offer).bind(settings.serveOn.host, settings.serveOn.port)
@@ -67,7 +93,7 @@
 
     /** The first stage: on the network thread, refuses at once when the owner is behind. */
     private fun offer(request: Request) {
-        val taken = request.path != REPORTS_PATH || controller.takesReports()
+        val taken = !stopping && (request.path != REPORTS_PATH || controller.takesReports())
         if (taken && intake.offer(Command.Http(request))) return
         controller.refused()
         request.reply.send(503, Body.EMPTY, 1)
--- /dev/null
+++ b/src/main/kotlin/flaxfield/operator/OperatorServer.kt
@@ -0,0 +1,49 @@
+package flaxfield.operator
+
+import flaxfield.settings.Address
+import io.grpc.Server
+import io.grpc.netty.NettyServerBuilder
+import io.netty.channel.nio.NioEventLoopGroup
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import java.io.IOException
+import java.net.InetSocketAddress
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+
+/** Listens for operators on an address of its own, apart from users and workers, on threads of its own. */
+class OperatorServer(address: Address, service: OperatorService) {
+    private val loop = NioEventLoopGroup(1)
+    private val threads = Executors.newFixedThreadPool(THREADS) { Thread(it, "operator").apply { isDaemon = true } }
+    private val server: Server = NettyServerBuilder
+        .forAddress(InetSocketAddress(address.host, address.port))
+        .bossEventLoopGroup(loop)
+        .workerEventLoopGroup(loop)
+        .channelType(NioServerSocketChannel::class.java)
+        .executor(threads)
+        .maxInboundMessageSize(MOST_BYTES)
+        .maxConcurrentCallsPerConnection(CALLS_PER_CONNECTION)
+        .addService(service)
+        .build()
+
+    /** Binds the address; throws [IOException] if it can't. */
+    @Throws(IOException::class)
+    fun start() {
+        server.start()
+    }
+
+    /** Takes no more calls, and waits up to [withinMs] for those under way. */
+    fun stop(withinMs: Long) {
+        server.shutdown()
+        server.awaitTermination(withinMs, TimeUnit.MILLISECONDS)
+        server.shutdownNow()
+    }
+
+    private companion object {
+        /** Reads are short walks over a snapshot; two threads leave the owner thread its core. */
+        const val THREADS = 2
+
+        /** A selector of some thousand machine names. */
+        const val MOST_BYTES = 128 * 1024
+        const val CALLS_PER_CONNECTION = 16
+    }
+}
--- a/src/main/kotlin/flaxfield/store/StoreClient.kt
+++ b/src/main/kotlin/flaxfield/store/StoreClient.kt
@@ -136,6 +136,11 @@
         calls.send("POST", "/leases/$lease/extend", Wire.encode(emptyMap()), timeoutMs) { done(it?.status ?: 0) }
     }
 
+    /** Ends a lease; [done] once that is answered, or given up on. */
+    fun release(lease: ULong, done: () -> Unit) {
+        calls.send("DELETE", "/leases/$lease", null, timeoutMs) { done() }
+    }
+
     private fun news(o: Obj): Watched.News = Watched.News(
         o.needCount("ledger"),
         o.objs("news").map { n ->
--- a/src/test/kotlin/flaxfield/drain/CapacityChecker.kt
+++ b/src/test/kotlin/flaxfield/drain/CapacityChecker.kt
@@ -5,7 +5,8 @@
 
 /**
  * Counts what teams really lack on the workers, apart from all records: tasks that once ran, are not through, and do not run
- * now. Where nothing but drains takes tasks away, no team may ever lack more than its budget.
+ * now. Where nothing but drains takes tasks away, no team may ever lack more than its budget. Where other things do, what
+ * drains alone have taken may not: tasks that were told to stop with time to save, and do not run again yet.
  */
 class CapacityChecker(
     private val now: () -> Double,
@@ -13,31 +14,48 @@
     private val cancelled: (String) -> Boolean,
 ) : TaskWatcher {
     private val lacking = HashMap<String, JobSpec>()
+    private val planned = HashSet<String>()
     private val running = HashSet<String>()
+
+    /** Moments at which a team lacked more than its budget, for whatever reason. */
     val broken = ArrayList<String>()
 
+    /** The same of what drains had taken. */
+    val overcharged = ArrayList<String>()
+
     /** The most that each team ever lacked. */
     val most = HashMap<String, Amount>()
 
-    /** How many tasks were told to stop. */
-    var halts = 0
-        private set
+    /** How many tasks were told to stop, by job. */
+    val halts = HashMap<String, Int>()
+
+    /** Told of each task that is being stopped. */
+    var onHalt: () -> Unit = {}
 
     override fun runs(spec: JobSpec, index: Int) {
         running += name(spec, index)
-        lacking.remove(name(spec, index))
+        back(spec, index)
     }
 
-    override fun halted(spec: JobSpec, index: Int) {
-        if (!cancelled(spec.id)) halts++
+    override fun halted(spec: JobSpec, index: Int, windDownS: Double) {
+        if (!cancelled(spec.id)) halts.merge(spec.id, 1, Int::plus)
+        // A gang that has lost a member is stopped by others than drains.
+        val mates = lacking.filterValues { it.id == spec.id }.keys
+        if (windDownS > 0.0 && name(spec, index) in running && mates.all { it in planned }) planned += name(spec, index)
         lost(spec, index)
+        onHalt()
     }
 
     override fun left(spec: JobSpec, index: Int) = lost(spec, index)
 
     override fun done(spec: JobSpec, index: Int) {
         running -= name(spec, index)
+        back(spec, index)
+    }
+
+    private fun back(spec: JobSpec, index: Int) {
         lacking.remove(name(spec, index))
+        planned -= name(spec, index)
     }
 
     private fun lost(spec: JobSpec, index: Int) {
@@ -47,13 +65,20 @@
     }
 
     private fun recount(team: String) {
-        val sum = lacking.values.filter { it.owner == team && !cancelled(it.id) }
-            .fold(Amount.NONE) { a, s -> a + Amount(s.need.cpus, s.need.gpus) }
+        val all = lacking.filterValues { it.owner == team && !cancelled(it.id) }
+        val sum = sum(all.values)
         val before = most[team] ?: Amount.NONE
         most[team] = Amount(maxOf(before.cpus, sum.cpus), maxOf(before.gpus, sum.gpus))
         val allowed = budgets[team] ?: return
-        if (sum.above(allowed)) broken += "${now()}: $team lacks $sum of $allowed: ${lacking.keys}"
+        if (sum.above(allowed)) broken += "${now()}: $team lacks $sum of $allowed: ${all.keys}"
+        val taken = all.filterKeys { it in planned }
+        if (sum(taken.values).above(allowed)) {
+            overcharged +=
+                "${now()}: drains took ${sum(taken.values)} of $allowed from $team: ${taken.keys}"
+        }
     }
 
+    private fun sum(specs: Collection<JobSpec>) = specs.fold(Amount.NONE) { a, s -> a + Amount(s.need.cpus, s.need.gpus) }
+
     private fun name(spec: JobSpec, index: Int) = "${spec.id}/$index"
 }
--- a/src/test/kotlin/flaxfield/drain/DrainDay.kt
+++ b/src/test/kotlin/flaxfield/drain/DrainDay.kt
@@ -83,7 +83,8 @@
     private var watching = false
 
     /** Rules of the protocol and of the records that broke. */
-    fun broken(): List<String> = cluster.rules.broken.take(5) + cluster.state.broken.take(5) + records.broken.take(5)
+    fun broken(): List<String> =
+        cluster.rules.broken.take(5) + cluster.state.broken.take(5) + records.broken.take(5) + workers.overcharged.take(5)
 
     fun unfinished(): List<String> = plan.jobs.map { it.id }.filter { cluster.rules.told(it) !in Rules.FINAL }
 
--- /dev/null
+++ b/src/test/kotlin/flaxfield/drain/DrainPlannerTest.kt
@@ -0,0 +1,210 @@
+package flaxfield.drain
+
+import flaxfield.Samples
+import flaxfield.Samples.on
+import flaxfield.arrays.HostRoom
+import flaxfield.arrays.HostState
+import flaxfield.fleet.Machine
+import flaxfield.fleet.MachinePhase
+import flaxfield.jobs.Job
+import flaxfield.jobs.Shape
+import flaxfield.members.Assignment
+import flaxfield.members.Member
+import kotlinx.collections.immutable.persistentHashMapOf
+import kotlinx.collections.immutable.toPersistentHashMap
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** Tables of single decisions; each task takes 4 CPUs and 1 accelerator. */
+class DrainPlannerTest {
+    private val member = Member("n-0", "run", "a")
+    private val any = Selector(emptySet(), "big", null, null, null)
+
+    private fun config(budgets: Map<String, BudgetLimit>) = FleetConfig(
+        "run",
+        budgets,
+        BudgetLimit.Absolute(capacity(2)),
+        mapOf("deed" to RepeatPolicy.NEVER),
+        RepeatPolicy.CHECKPOINTED,
+        0,
+        100,
+    )
+
+    private fun capacity(tasks: Int) = Capacity(4.0, 1.0) * tasks
+
+    private fun absolute(tasks: Int) = BudgetLimit.Absolute(capacity(tasks))
+
+    private fun drain(id: String, orderedMs: Long = 10, phase: DrainPhase = DrainPhase.ACTIVE, target: Int? = 9, cordoned: Int = 9) =
+        DrainRecord(id, any, orderedMs, phase, target, cordoned, "", 1uL)
+
+    private fun machine(name: String, cordon: String? = "d-1") = Samples.machine(name).copy(cordon = cordon)
+
+    private fun snapshot(
+        jobs: List<Job>,
+        machines: List<Machine>,
+        drains: List<DrainRecord> = listOf(drain("d-1")),
+        budgets: Map<String, BudgetLimit> = emptyMap(),
+        ledgers: List<Ledger> = emptyList(),
+        silent: Set<String> = emptySet(),
+    ) = FleetSnapshot(
+        revision = 9uL,
+        assignment = Assignment(member, listOf(member), 5uL),
+        jobs = jobs.associateBy { it.id }.toPersistentHashMap(),
+        machines = machines.associateBy { it.name }.toPersistentHashMap(),
+        rooms = machines.associate {
+            it.name to HostRoom(if (it.name in silent) HostState.SILENT else HostState.OK, 1uL, "", emptyList())
+        }.toPersistentHashMap(),
+        drains = drains.associateBy { it.id }.toPersistentHashMap(),
+        ledgers = ledgers.associateBy { it.team }.toPersistentHashMap(),
+        configs = persistentHashMapOf("n-0" to config(budgets)),
+    )
+
+    private fun array(id: String, team: String, vararg where: Pair<Int, String>, jobClass: String = "class") =
+        Samples.job(Samples.spec(id = id, owner = team, taskCount = 8, jobClass = jobClass)).on(*where)
+
+    private fun steps(s: FleetSnapshot) = DrainPlanner(s).plan().actions.filterIsInstance<DrainAction.Step>()
+        .map { step -> step.machine.name to step.units.flatMap { u -> u.tasks.map { "${u.job.id}/$it" } } }
+
+    private fun waits(s: FleetSnapshot, drain: String = "d-1") = DrainPlanner(s).plan().waits[drain].orEmpty()
+
+    @Test
+    fun `the machine that takes the least of its teams' budgets goes first, and only one a step`() {
+        val jobs = listOf(array("job-1", "red", 0 to "h-1", 1 to "h-1", 2 to "h-2"), array("job-2", "blue", 0 to "h-3", 1 to "h-3"))
+        val machines = listOf(machine("h-1"), machine("h-2"), machine("h-3"))
+        assertEquals(listOf("h-2" to listOf("job-1/2")), steps(snapshot(jobs, machines)))
+        // A team with a large budget gives more than one with a small one.
+        val large = mapOf("blue" to absolute(40))
+        assertEquals(listOf("h-3" to listOf("job-2/0", "job-2/1")), steps(snapshot(jobs, machines, budgets = large)))
+    }
+
+    @Test
+    fun `where no machine can be emptied at once the one nearest to it is emptied in part`() {
+        val jobs = listOf(
+            array("job-1", "red", 0 to "h-1", 1 to "h-1", 2 to "h-1"),
+            array(
+                "job-2",
+                "red",
+                0 to "h-2",
+                1 to "h-2",
+                2 to "h-2",
+                3 to "h-2",
+            ),
+        )
+        assertEquals(listOf("h-1" to listOf("job-1/0", "job-1/1")), steps(snapshot(jobs, listOf(machine("h-1"), machine("h-2")))))
+    }
+
+    @Test
+    fun `what is lost, stopped, silent or charged counts against the budget`() {
+        val machines = listOf(machine("h-1"), machine("h-2", null))
+        val job = array("job-1", "red", 0 to "h-1")
+        val other = array("job-2", "red", 0 to "h-2", 1 to "h-2")
+        val cases = mapOf(
+            "nothing" to snapshot(listOf(job, other), machines),
+            "lost" to snapshot(listOf(job, other.free(listOf(0, 1)).interrupt(listOf(0, 1))), machines),
+            "stopping" to snapshot(listOf(job, other.stop(listOf(0, 1))), machines),
+            "silent" to snapshot(listOf(job, other), machines, silent = setOf("h-2")),
+            "charged" to snapshot(
+                listOf(job, other),
+                machines,
+                ledgers = listOf(Ledger("red", listOf(TaskId("job-2", 0), TaskId("job-2", 1)).associateWith { Disruption(0, "d-0") }, 3uL)),
+            ),
+        )
+        for ((what, s) in cases) assertEquals(if (what == "nothing") 1 else 0, steps(s).size, what)
+        assertTrue(waits(cases.getValue("lost")).getValue("h-1") is WaitReason.BudgetSpent)
+    }
+
+    @Test
+    fun `a loss that its user has given up, or that fails everywhere, is nobody's`() {
+        val machines = listOf(machine("h-1"), machine("h-2", null))
+        val job = array("job-1", "red", 0 to "h-1")
+        val lost = array("job-2", "red", 0 to "h-2", 1 to "h-2").free(listOf(0, 1)).interrupt(listOf(0, 1))
+        assertEquals(1, steps(snapshot(listOf(job, lost.copy(cancelledMs = 1)), machines)).size)
+        assertEquals(1, steps(snapshot(listOf(job, lost.copy(errors = 4, errorHosts = listOf("x", "y"))), machines)).size)
+    }
+
+    @Test
+    fun `a percentage is never rounded up`() {
+        val jobs = listOf(array("job-1", "red", *(0..7).map { it to "h-$it" }.toTypedArray()))
+        val machines = (0..7).map { machine("h-$it") }
+        // Of 8 tasks: 12 % is less than one, 13 % is one, 30 % is two.
+        for ((percent, size) in mapOf(12.0 to 0, 13.0 to 1, 30.0 to 1)) {
+            val s = snapshot(jobs, machines, budgets = mapOf("red" to BudgetLimit.Percent(percent)))
+            assertEquals(size, steps(s).size, "$percent")
+        }
+        val small = snapshot(jobs, machines, budgets = mapOf("red" to BudgetLimit.Percent(12.0)))
+        assertTrue(waits(small).values.all { it is WaitReason.LargerThanBudget })
+    }
+
+    @Test
+    fun `an older drain that waits for a budget is not starved by a younger one`() {
+        val gang = Samples.job(Samples.spec(id = "job-1", owner = "red", shape = Shape.GANG, taskCount = 2)).on(0 to "h-1", 1 to "h-1")
+        val lost = array("job-2", "red", 0 to "h-3").free(listOf(0)).interrupt(listOf(0))
+        val jobs = listOf(gang, array("job-3", "red", 0 to "h-2"), lost)
+        val machines = listOf(machine("h-1", "d-1"), machine("h-2", "d-2"))
+        val drains = listOf(drain("d-1", orderedMs = 10), drain("d-2", orderedMs = 20))
+        // One of two may be spent: enough for the younger drain's task, not for the older one's gang.
+        val s = snapshot(jobs, machines, drains)
+        assertEquals(emptyList<Any>(), steps(s))
+        assertEquals(WaitReason.OlderDrainFirst("d-1", "red"), waits(s, "d-2").getValue("h-2"))
+        assertEquals(1, steps(snapshot(jobs, machines, drains.map { it.copy(orderedMs = 30 - it.orderedMs) })).size)
+        // Another team's budget is no business of the older drain.
+        val blue = snapshot(listOf(gang, lost, array("job-4", "blue", 0 to "h-2")), machines, drains)
+        assertEquals(listOf("h-2" to listOf("job-4/0")), steps(blue))
+    }
+
+    @Test
+    fun `what may not be stopped keeps its whole machine`() {
+        val deed = array("job-1", "red", 0 to "h-1", jobClass = "deed")
+        val unsaved = array("job-2", "red", 0 to "h-2").let { it.copy(spec = it.spec.copy(saveEveryS = 0.0)) }
+        val large = Samples.job(Samples.spec(id = "job-3", owner = "red", shape = Shape.GANG, taskCount = 3)).on(
+            0 to "h-3",
+            1 to "h-3",
+            2 to "h-3",
+        )
+        val other = array("job-4", "blue", 0 to "h-1", 1 to "h-2", 2 to "h-3")
+        val s = snapshot(listOf(deed, unsaved, large, other), listOf(machine("h-1"), machine("h-2"), machine("h-3")))
+        assertEquals(emptyList<Any>(), steps(s))
+        assertEquals(WaitReason.NoRepeat("job-1", "deed", RepeatPolicy.NEVER), waits(s).getValue("h-1"))
+        assertEquals(WaitReason.NoRepeat("job-2", "class", RepeatPolicy.CHECKPOINTED), waits(s).getValue("h-2"))
+        assertEquals(WaitReason.LargerThanBudget("job-3", "red", capacity(3), capacity(2)), waits(s).getValue("h-3"))
+    }
+
+    @Test
+    fun `machines are counted, kept from new work, returned empty, and given back`() {
+        val machines = listOf(machine("h-1", null), machine("h-2", null), machine("h-3", null).copy(sinceMs = 50))
+        fun actions(d: DrainRecord, m: List<Machine> = machines) = DrainPlanner(snapshot(emptyList(), m, listOf(d))).plan().actions
+        // A machine that came after the order is not meant.
+        assertEquals(2, (actions(drain("d-1", target = null, cordoned = 0)).single() as DrainAction.Count).target)
+        val half = drain("d-1", target = null, cordoned = 0).copy(selector = any.copy(percent = 50.0))
+        assertEquals(1, (actions(half).single() as DrainAction.Count).target)
+        val cordon = actions(drain("d-1", target = 1, cordoned = 0)).single() as DrainAction.Cordon
+        assertEquals(listOf("h-1"), cordon.machines.map { it.name })
+        val held = listOf(machine("h-1"), machine("h-2"))
+        assertEquals(2, (actions(drain("d-1", target = 2, cordoned = 2), held).single() as DrainAction.Retire).machines.size)
+        val retiring = held.map { it.copy(phase = MachinePhase.RETIRING) }
+        assertEquals(emptyList<Any>(), actions(drain("d-1", target = 2, cordoned = 2), retiring))
+        assertEquals(DrainPhase.DONE, (actions(drain("d-1", target = 2, cordoned = 2), emptyList()).single() as DrainAction.Finish).phase)
+        val cancelled = drain("d-1", phase = DrainPhase.CANCELLING)
+        assertEquals(2, (actions(cancelled, held).single() as DrainAction.Uncordon).machines.size)
+        assertEquals(DrainPhase.CANCELLED, (actions(cancelled, retiring).single() as DrainAction.Finish).phase)
+    }
+
+    @Test
+    fun `a step's conditions hold all that it was planned on`() {
+        val job = array("job-1", "red", 0 to "h-1")
+        val s = snapshot(listOf(job), listOf(machine("h-1"))).copy(lossMarks = persistentHashMapOf("n-0" to 7uL))
+        val step = DrainPlanner(s).plan().actions.filterIsInstance<DrainAction.Step>().single()
+        val txn = DrainSteps(s, 5uL).transaction(step.drain, step.machine, step.units)
+        val wanted = mapOf(
+            "live/assignment" to 5uL,
+            "live/fleet/drain/d-1" to 1uL,
+            "live/fleet/ledger/red" to 0uL,
+            "live/fleet/loss/n-0" to 7uL,
+            "live/host/h-1" to 1uL,
+            "live/job/job-1" to 1uL,
+        )
+        assertEquals(wanted, txn.conditions)
+        assertEquals(setOf("live/job/job-1", "live/fleet/ledger/red"), txn.changes.mapTo(HashSet()) { it.key })
+    }
+}
--- a/src/test/kotlin/flaxfield/drain/RecordChecker.kt
+++ b/src/test/kotlin/flaxfield/drain/RecordChecker.kt
@@ -25,6 +25,9 @@
 
     /** Each step: when, the teams that it charged, and what each lacked then, of how much. */
     val steps = ArrayList<String>()
+
+    /** Told of each transaction that was a step. */
+    var onStep: () -> Unit = {}
     private var before: Set<String> = emptySet()
 
     /** Recounts now; to be called after every transaction. */
@@ -45,6 +48,7 @@
         }
         before = stopping
         for (team in teamsHit) step(team, tasks, charged)
+        if (teamsHit.isNotEmpty()) onStep()
     }
 
     private fun step(team: String, tasks: Map<String, Task>, charged: Set<String>) {
--- /dev/null
+++ b/src/test/kotlin/flaxfield/drain/RecordCheckerTest.kt
@@ -0,0 +1,85 @@
+package flaxfield.drain
+
+import flaxfield.Samples
+import flaxfield.Samples.on
+import flaxfield.fleet.FleetCodec
+import flaxfield.jobs.Job
+import flaxfield.jobs.JobCodec
+import flaxfield.settings.StateLimits
+import flaxfield.sim.SimLoop
+import flaxfield.sim.SimState
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import flaxfield.codec.Wire as Cbor
+
+/** The checker of steps finds the faults that it is there for; records are written as a faulty controller would. */
+class RecordCheckerTest {
+    private val loop = SimLoop(1)
+    private val state = SimState(loop, StateLimits(1e6, 1e6, 64.0, 100))
+    private val checker = RecordChecker(state, { loop.nowS }) { _, _ -> Amount(8.0, 2.0) }
+
+    init {
+        write("live/host/h" to FleetCodec.encode(Samples.machine("h").copy(cordon = "d-1")))
+    }
+
+    private fun write(vararg records: Pair<String, Map<String, Any?>>) {
+        val body = mapOf("when" to emptyList<Any>(), "apply" to records.map { mapOf("write" to it.first, "value" to it.second) })
+        state.serve(0, "POST", "/txn", Cbor.encode(body)) { assertEquals(200, it.status) }
+        checker.check()
+    }
+
+    private fun placed(id: String): Job = Samples.job(Samples.spec(id = id, taskCount = 2)).on(0 to "h", 1 to "h")
+
+    private fun head(job: Job) = "live/job/${job.id}" to JobCodec.encodeHead(job)
+
+    private fun ledger(vararg tasks: TaskId) =
+        "live/fleet/ledger/red" to DrainCodec.encode(Ledger("red", tasks.associateWith { Disruption(1, "d-1") }, 0uL))
+
+    @Test
+    fun `a step within the budget is none of them`() {
+        val job = placed("job-1")
+        write(head(job))
+        write(head(job.stop(listOf(0, 1))), ledger(TaskId("job-1", 0), TaskId("job-1", 1)))
+        assertEquals(emptyList<String>(), checker.broken)
+        assertEquals(1, checker.steps.size)
+    }
+
+    @Test
+    fun `a halt before its charge`() {
+        val job = placed("job-1")
+        write(head(job))
+        write(head(job.stop(listOf(0))))
+        assertTrue("without a charge" in checker.broken.single(), checker.broken.toString())
+    }
+
+    @Test
+    fun `two drains that each keep a ledger of their own`() {
+        val jobs = listOf(placed("job-1"), placed("job-2"))
+        write(*jobs.map(::head).toTypedArray())
+        write(head(jobs[0].stop(listOf(0, 1))), ledger(TaskId("job-1", 0), TaskId("job-1", 1)))
+        // The second step forgets what the first has charged.
+        write(head(jobs[1].stop(listOf(0))), ledger(TaskId("job-2", 0)))
+        assertTrue("lacks" in checker.broken.single(), checker.broken.toString())
+    }
+
+    @Test
+    fun `an entry that was freed by time while its task is still lost`() {
+        val jobs = listOf(placed("job-1"), placed("job-2"))
+        write(*jobs.map(::head).toTypedArray())
+        write(head(jobs[0].stop(listOf(0, 1))), ledger(TaskId("job-1", 0), TaskId("job-1", 1)))
+        write(head(jobs[0].free(listOf(0, 1)).interrupt(listOf(0, 1))), ledger())
+        write(head(jobs[1].stop(listOf(0))), ledger(TaskId("job-2", 0)))
+        assertTrue("lacks" in checker.broken.single(), checker.broken.toString())
+    }
+
+    @Test
+    fun `a step on top of unplanned losses`() {
+        val jobs = listOf(placed("job-1"), placed("job-2"))
+        write(*jobs.map(::head).toTypedArray())
+        write(head(jobs[0].free(listOf(0, 1)).interrupt(listOf(0, 1))))
+        assertEquals(emptyList<String>(), checker.broken)
+        write(head(jobs[1].stop(listOf(0))), ledger(TaskId("job-2", 0)))
+        assertTrue("lacks" in checker.broken.single(), checker.broken.toString())
+    }
+}
--- a/src/test/kotlin/flaxfield/sim/Rules.kt
+++ b/src/test/kotlin/flaxfield/sim/Rules.kt
@@ -217,8 +217,8 @@
     /** The task does its work from now on. */
     fun runs(spec: JobSpec, index: Int)
 
-    /** Its worker was told to stop it. */
-    fun halted(spec: JobSpec, index: Int)
+    /** Its worker was told to stop it, and to let it save for so long. */
+    fun halted(spec: JobSpec, index: Int, windDownS: Double)
 
     /** It is on its machine no more, for whatever reason. */
     fun left(spec: JobSpec, index: Int)
--- a/src/test/kotlin/flaxfield/sim/SimCluster.kt
+++ b/src/test/kotlin/flaxfield/sim/SimCluster.kt
@@ -211,7 +211,7 @@
 
     /** An operator's order to controller [i]; [done] gets nothing if that process ends meanwhile. */
     fun order(i: Int, order: DrainOrder, done: (OrderResult) -> Unit) = work(i, Work.USER) {
-        controls[i]?.let { it.orders.take(order, it.publisher.current, done) }
+        controls[i]?.order(order, done)
     }
 
     fun kill(i: Int, downS: Double) {
--- a/src/test/kotlin/flaxfield/sim/SimMachines.kt
+++ b/src/test/kotlin/flaxfield/sim/SimMachines.kt
@@ -51,6 +51,9 @@
     var hangs = false
     var gone = false
 
+    /** Until when the cloud leaves it the machine; null without a notice. */
+    var warningS: Double? = null
+
     /** Every task that starts here fails. */
     var sick = false
 
@@ -172,7 +175,7 @@
     private fun body(): Map<String, Any?> = mapOf(
         "host" to place.host, "address" to address, "flavor" to place.machineType,
         "site" to place.zone, "lendable" to place.preemptible, "tenure" to session, "tally" to ++sequenceNumber, "epoch" to epoch,
-        "warning_s" to null,
+        "warning_s" to warningS,
         "shards" to tasks.values.map {
             mapOf("shard" to JobCodec.taskName(it.spec.id, it.index), "try" to it.attempt, "phase" to it.state, "cause" to it.cause)
         },
@@ -286,7 +289,7 @@
 
     private fun halt(t: Task, windDown: Double) {
         if (t.state == "ended") return
-        rules.watcher?.halted(t.spec, t.index)
+        rules.watcher?.halted(t.spec, t.index, windDown)
         if (t.state == "running" && t.spec.saveEveryS > 0 && windDown >= t.spec.saveS) {
             if (t.spec.shape != Shape.GANG) rules.savedLeft[t.key] = t.left
             t.state = "saving"
--- a/src/test/kotlin/flaxfield/sim/SimState.kt
+++ b/src/test/kotlin/flaxfield/sim/SimState.kt
@@ -93,6 +93,11 @@
                 if (l != null) leases[id] = loop.nowNs + l.second to l.second
                 answer(reply(if (l == null) 404 else 200, emptyMap()))
             }
+            method == "DELETE" && path.startsWith("/leases/") -> {
+                leases[path.split('/')[2].toLong()] = loop.nowNs - 1 to 0L
+                expire()
+                answer(reply(200, emptyMap()))
+            }
             path == "/follow" -> {
                 val w = Watch(node, query.getValue("under"), query.getValue("from").toLong(), answer)
                 watches += w
--- /dev/null
+++ b/src/test/kotlin/flaxfield/training/LoopbackWorld.kt
@@ -0,0 +1,138 @@
+package flaxfield.training
+
+import flaxfield.jobs.JobCodec
+import flaxfield.jobs.JobSpec
+import flaxfield.net.Answer
+import flaxfield.net.HttpClient
+import flaxfield.net.Request
+import flaxfield.settings.Address
+import flaxfield.settings.StateLimits
+import flaxfield.sim.Rules
+import flaxfield.sim.SimCloud
+import flaxfield.sim.SimGangs
+import flaxfield.sim.SimLoop
+import flaxfield.sim.SimState
+import flaxfield.sim.SimTimes
+import flaxfield.sim.SimWorker
+import java.io.File
+import java.net.ServerSocket
+import flaxfield.codec.Wire as Cbor
+
+/** One controller on loopback: its name, its zone and its ports. */
+class LoopbackNode(val name: String, val zone: String) {
+    val servePort: Int = freePort()
+    val peerPort: Int = freePort()
+    val operatorPort: Int = freePort()
+}
+
+/** A port that nobody listens on now. */
+fun freePort(): Int = ServerSocket(0).use { it.localPort }
+
+/** How large a world on loopback is. */
+class WorldScale(val machinesPerKind: Int, val teams: List<String> = listOf("red"))
+
+/** Real controllers' outside on loopback: the state service, the cloud, the workers and the users of the simulation. */
+class LoopbackWorld(private val nodes: List<LoopbackNode>, private val scale: WorldScale) {
+    private val server = StandInServer()
+    private val loop = server.loop
+    private val state = SimState(loop, StateLimits(rps = 150.0, writeRps = 60.0, valueKb = 16.0, txnOps = 24))
+    private val rules = Rules(emptyMap(), cancelS = 20.0, leaseS = 6.0)
+    private val specs = HashMap<String, JobSpec>()
+    private val gangs = SimGangs()
+    private val clients = nodes.associate {
+        it.name to HttpClient(server.network, server.outbox, Address(StandInServer.LOOPBACK, it.servePort), StandInServer.SOCKETS)
+    }
+    private val port: Int = freePort()
+    private val cloud: SimCloud =
+        SimCloud(loop, mapOf("a" to scale.machinesPerKind, "b" to scale.machinesPerKind), lagS = 1.0) { place -> worker(place) }
+
+    init {
+        cloud.bootFactor = 0.2
+    }
+
+    fun start() = server.start(port, ::serve)
+
+    /** Runs [block] on the stand-ins' thread. */
+    fun post(block: () -> Unit) = server.post(block)
+
+    /** Runs [block] on the stand-ins' thread after [ns] of simulated time. */
+    fun after(ns: Long, block: () -> Unit) = loop.after(ns, block)
+
+    fun taskStarts(): Int = server.ask { rules.starts }
+
+    fun broken(): List<String> = server.ask { rules.broken + state.broken }
+
+    /** Whether the state service is out for all. */
+    fun outage(on: Boolean) = server.ask { state.outage = on }
+
+    /** Who leads, as the state service has it. */
+    fun leader(): String? = server.ask { state.text("live/leader", "name") }
+
+    /** The settings file of [node]. */
+    fun settingsFile(node: LoopbackNode): File {
+        val others = nodes.filter { it !== node }.joinToString {
+            """{"node_name": "${it.name}", "zone": "${it.zone}", "peer_addr": "127.0.0.1:${it.peerPort}"}"""
+        }
+        val teams = scale.teams.joinToString { """{"name": "$it", "cpus": 0.0, "cpus_max": 0.0, "gpus": 4.0, "gpus_max": 2400.0}""" }
+        val text = checkNotNull(LoopbackWorld::class.java.getResource(SETTINGS_RESOURCE)).readText()
+            .replace("OTHERS", others)
+            .replace("TEAMS", teams)
+            .replace("SIZE", nodes.size.toString())
+            .replace("NODE", node.name)
+            .replace("ZONE", node.zone)
+            .replace("SERVE_PORT", node.servePort.toString())
+            .replace("PEER_PORT", node.peerPort.toString())
+            .replace("OUTSIDE_PORT", port.toString())
+        return temporaryFile(text)
+    }
+
+    private fun serve(request: Request, answer: (Answer) -> Unit) {
+        val path = request.path
+        when {
+            path == "/do" -> answer(Answer(400, Cbor.encode(emptyMap())))
+            path == "/flavors" || path.startsWith("/machines") -> cloud.serve(request.method, request.target, request.body, answer)
+            else -> state.serve(0, request.method, request.target, request.body, answer)
+        }
+    }
+
+    private fun worker(place: Rules.Place): SimWorker {
+        val times = SimTimes(reportS = 1.0, leaseS = 6.0, gangWaitS = 10.0, gangPeerS = 3.0)
+        val names = nodes.map { it.name }
+        val address = "${StandInServer.LOOPBACK}:$port"
+        return SimWorker(loop, place, SimCloud.ROOM, rules, specs, gangs, times, names, address) { node, body, done ->
+            ask(node, "POST", "/hello", body, done)
+        }
+    }
+
+    private fun ask(node: String, method: String, path: String, body: ByteArray?, done: (Answer?) -> Unit) {
+        clients.getValue(node).send(method, path, body, TIMEOUT_MS) { answer -> server.post { done(answer) } }
+    }
+
+    /** A user submits [spec], to one node and then another, until it is accepted; then [accepted] is called. */
+    fun submit(spec: JobSpec, first: Int, accepted: (LoopbackNode) -> Unit = {}) {
+        specs[spec.id] = spec
+        rules.submitted(spec)
+        val node = nodes[first % nodes.size]
+        ask(node.name, "POST", "/work", Cbor.encode(JobCodec.encodeSpec(spec))) { answer ->
+            if (answer == null || answer.status >= 300) {
+                loop.after(SimLoop.SECOND) { submit(spec, first + 1, accepted) }
+            } else {
+                accepted(node)
+            }
+        }
+    }
+
+    /** A user's other requests, whatever they are answered. */
+    fun request(node: LoopbackNode, method: String, path: String) = ask(node.name, method, path, null) { }
+
+    companion object {
+        private const val TIMEOUT_MS = 4_000L
+        private const val SETTINGS_RESOURCE = "/training/settings.json"
+
+        /** A file with [text], gone with this process. */
+        fun temporaryFile(text: String): File = File.createTempFile("flaxfield-loopback", ".json").apply {
+            deleteOnExit()
+            writeText(text)
+        }
+    }
+}
