--- /dev/null
+++ b/src/test/kotlin/flaxfield/drain/DrainMeasurement.kt
@@ -0,0 +1,149 @@
+package flaxfield.drain
+
+import flaxfield.Samples
+import flaxfield.jobs.JobSpec
+import flaxfield.jobs.Priority
+import flaxfield.jobs.Room
+import flaxfield.settings.StateLimits
+import flaxfield.sim.SimCluster
+import flaxfield.sim.SimLoop
+import flaxfield.sim.SimUser
+
+/** One cluster in which tasks fill machines one to one, and how a drain of a share of them goes. */
+private class Measured(private val machines: Int, private val percent: Double, private val drains: Boolean) {
+    private val each = Amount(14.0, 4.0)
+    private val perTeam = machines / DrainDay.TEAMS.size
+    private val budgets = DrainDay.TEAMS.associateWith { Amount(each.cpus * perTeam * SHARE, each.gpus * perTeam * SHARE) }
+    private val config = DrainDay.config(emptyMap(), surge = maxOf(2, machines / 50))
+    private val cluster = SimCluster(
+        seed = machines,
+        perZone = machines,
+        limits = StateLimits(maxOf(150.0, machines * 0.5), maxOf(60.0, machines * 0.05), 32.0, 24),
+        teams = DrainDay.TEAMS.map { Samples.team(it) },
+        fleet = { if (drains) config else null },
+    )
+    private val loop = cluster.loop
+    private val workers = Unavailable(CapacityChecker({ loop.nowS }, budgets) { cluster.rules.cancelWanted(it) }) { loop.nowS }
+
+    private fun jobs(): List<JobSpec> {
+        val size = minOf(100, maxOf(1, perTeam / 3))
+        return DrainDay.TEAMS.flatMapIndexed { t, team ->
+            (0 until perTeam / size).map { n ->
+                Samples.spec(
+                    "job-${t + 1}$n", taskCount = size, priority = Priority.STANDARD, owner = team,
+                    need = Room(each.cpus, each.gpus, 50.0), preemptible = false, jobClass = "train",
+                ).copy(expectS = 1e6, saveS = 1.0, imageGb = 1.0)
+            }
+        }
+    }
+
+    fun run() {
+        cluster.rules.watcher = workers
+        for (i in cluster.names.indices) loop.after(i * 150 * SimLoop.MS) { cluster.boot(i) }
+        val jobs = jobs()
+        for ((n, j) in jobs.withIndex()) loop.after((2_000 + 60L * n) * SimLoop.MS, SimUser(cluster, cluster.job(j))::submit)
+        cluster.watch(1e9)
+        val tasks = jobs.sumOf { it.taskCount }
+        var filledS = 0.0
+        while (workers.running < tasks && loop.nowS < FILL_S) loop.runUntil(loop.nowS + 1.0)
+        filledS = loop.nowS
+        val selector = Selector(emptySet(), "big", null, null, percent)
+        if (drains) cluster.order(cluster.leader, DrainOrder.Start("d-1", selector)) { check(it is OrderResult.Recorded) { it } }
+        val startNs = System.nanoTime()
+        val crash = filledS + CRASH_AFTER_S
+        loop.after((CRASH_AFTER_S * SimLoop.SECOND).toLong()) { cluster.kill(cluster.leader, 3.0) }
+        fun phase() = cluster.state.text(FleetKeys.DRAIN + "d-1", "phase")
+        val untilS = filledS + if (drains) MOST_S else QUIET_S
+        while (loop.nowS < untilS && phase() != "done") loop.runUntil(loop.nowS + 1.0)
+        val tookS = loop.nowS - filledS
+        val perSimulatedS = (System.nanoTime() - startNs) / 1e6 / tookS
+        report(tasks, filledS, crash, tookS, perSimulatedS, phase())
+    }
+
+    private fun report(tasks: Int, filledS: Double, crashS: Double, tookS: Double, perSimulatedS: Double, phase: String?) {
+        println(
+            "machines=$machines rented=${cluster.cloud.rented} tasks=$tasks percent=$percent drains=$drains phase=$phase " +
+                "filled=%.0f s, leader crash at %.0f s, took=%.0f s".format(filledS, crashS, tookS),
+        )
+        val broken = cluster.rules.broken.take(3) + cluster.state.broken.take(3) + workers.checker.overcharged.take(3)
+        println(
+            "  halts=${workers.checker.halts.values.sum()} mean unavailable=%.1f s, bound by the budget=%.0f s".format(workers.meanS, bound()) +
+                " leases lost=${cluster.rules.leasesLost} broken=$broken",
+        )
+        println(
+            "  %.1f ms of processor time a simulated second for three controllers and all stand-ins; cloud refused %d of %d; state refused %d of %d"
+                .format(perSimulatedS, cluster.cloud.refused, cluster.cloud.served, cluster.state.refused, cluster.state.served),
+        )
+        val control = cluster.controls.filterNotNull().firstOrNull() ?: return
+        val snapshot = control.publisher.current
+        println(
+            "  plan of a turn: %.2f ms, of budgets: %.2f ms, machines list: %.2f ms".format(
+                time { DrainPlanner(snapshot).plan() },
+                time { snapshot.policy()?.let { Availability(snapshot, it).teams } },
+                time { flaxfield.operator.Answers(snapshot, 100).machines() },
+            ),
+        )
+    }
+
+    /** The least time that the budget allows: each team's stopped tasks, so many at once, each for as long as it was away. */
+    private fun bound(): Double = DrainDay.TEAMS.maxOf { team ->
+        val halted = workers.checker.halts.filterKeys { cluster.specs[it]?.owner == team }.values.sum()
+        val atOnce = maxOf(1, (perTeam * SHARE).toInt())
+        halted.toDouble() / atOnce * workers.meanS
+    }
+
+    private fun time(block: () -> Any?): Double {
+        repeat(WARM_UP) { block() }
+        val startNs = System.nanoTime()
+        repeat(WARM_UP) { block() }
+        return (System.nanoTime() - startNs) / 1e6 / WARM_UP
+    }
+
+    private companion object {
+        /** Part of a team's capacity that may be unavailable: the default budget of the test's file. */
+        const val SHARE = 0.1
+        const val FILL_S = 400.0
+        const val MOST_S = 900.0
+        const val QUIET_S = 60.0
+        const val CRASH_AFTER_S = 10.0
+        const val WARM_UP = 20
+    }
+}
+
+/** Passes on to the checker, and measures for how long halted tasks are away. */
+private class Unavailable(val checker: CapacityChecker, private val now: () -> Double) : flaxfield.sim.TaskWatcher by checker {
+    private val since = HashMap<String, Double>()
+    private var sum = 0.0
+    private var count = 0
+    private val runs = HashSet<String>()
+    val running: Int get() = runs.size
+    val meanS: Double get() = if (count == 0) 0.0 else sum / count
+
+    override fun runs(spec: JobSpec, index: Int) {
+        runs += "${spec.id}/$index"
+        since.remove("${spec.id}/$index")?.let {
+            sum += now() - it
+            count++
+        }
+        checker.runs(spec, index)
+    }
+
+    override fun halted(spec: JobSpec, index: Int, windDownS: Double) {
+        since.putIfAbsent("${spec.id}/$index", now())
+        checker.halted(spec, index, windDownS)
+    }
+
+    override fun left(spec: JobSpec, index: Int) {
+        runs -= "${spec.id}/$index"
+        checker.left(spec, index)
+    }
+}
+
+/**
+ * Measures drains outside CI: `DrainMeasurementKt MACHINES PERCENT [off]`. The leader crashes ten seconds into the drain; with
+ * `off` the same cluster runs a minute without a fleet file.
+ */
+fun main(arguments: Array<String>) {
+    System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", "error")
+    Measured(arguments[0].toInt(), arguments[1].toDouble(), arguments.size < 3).run()
+}
