--- a/src/main/kotlin/flaxfield/drain/DrainPlanner.kt
+++ b/src/main/kotlin/flaxfield/drain/DrainPlanner.kt
@@ -53,8 +53,8 @@
     /** Keeps new work off [machines]. */
     data class Cordon(override val drain: DrainRecord, val machines: List<Machine>) : DrainAction
 
-    /** Stops [units] on [machine], as many of them as one transaction holds; each is charged to its team. */
-    data class Step(override val drain: DrainRecord, val machine: Machine, val units: List<DisruptionUnit>) : DrainAction
+    /** Stops [units] on [machines], as many of them as one transaction holds; each is charged to its team. */
+    data class Step(override val drain: DrainRecord, val machines: List<Machine>, val units: List<DisruptionUnit>) : DrainAction
 
     /** Hands empty [machines] to the fleet's ordinary return. */
     data class Retire(override val drain: DrainRecord, val machines: List<Machine>) : DrainAction
@@ -96,7 +96,9 @@
                 else -> Unit
             }
         }
-        step(open.filter { it.phase == DrainPhase.ACTIVE })
+        // Stopped before all its machines are known, a task went to one that was taken next, and was stopped again.
+        val unsettled = actions.filter { it is DrainAction.Cordon || it is DrainAction.Count }.mapTo(HashSet()) { it.drain.id }
+        step(open.filter { it.phase == DrainPhase.ACTIVE && it.id !in unsettled })
         return DrainPlan(actions, waits)
     }
 
@@ -162,37 +164,70 @@
         return result
     }
 
-    /** Chooses one step, of the oldest drain that can make one. */
+    /** What the step that is being put together has taken so far. */
+    private class Taken {
+        val offers = ArrayList<Offer>()
+        val costs = HashMap<String, Capacity>()
+        private val units = HashSet<TaskId>()
+
+        fun cost(team: String): Capacity = costs[team] ?: Capacity.NONE
+
+        /** A gang is stopped once, though it is on several machines. */
+        fun has(unit: DisruptionUnit) = TaskId(unit.job.id, unit.tasks.first()) in units
+
+        fun add(offer: Offer) {
+            offers += offer
+            for ((team, cost) in offer.costs) costs[team] = cost(team) + cost
+            for (u in offer.units) units += TaskId(u.job.id, u.tasks.first())
+        }
+    }
+
+    /** Puts one step together, of the oldest drain that can make one: machine by machine, while the budgets hold. */
     private fun step(drains: List<DrainRecord>) {
-        var chosen = false
+        var taken = Taken()
         for (drain in drains) {
-            val best = byDrain[drain.id].orEmpty().sortedBy { it.name }.mapNotNull { offer(drain, it) }.minWithOrNull(OFFERS)
-            if (best == null || chosen) continue
-            actions += DrainAction.Step(drain, best.machine, best.units)
-            chosen = true
+            val machines = byDrain[drain.id].orEmpty().sortedBy { it.name }
+            // Also where a step is made already: why the others wait is noted on the way.
+            var offers = machines.mapNotNull { offer(drain, it, taken) }
+            if (taken.offers.isNotEmpty()) continue
+            while (offers.isNotEmpty() && taken.offers.size < MOST_MACHINES) {
+                taken.add(offers.minWith(OFFERS))
+                val done = taken.offers.mapTo(HashSet()) { it.machine.name }
+                offers = offers.filter { it.machine.name !in done }.mapNotNull { offer(drain, it.machine, taken) }
+            }
+            if (taken.offers.isEmpty()) continue
+            actions += DrainAction.Step(drain, taken.offers.map { it.machine }, taken.offers.flatMap { it.units })
         }
     }
 
     /** A step that could be made on one machine. */
-    private class Offer(val machine: Machine, val units: List<DisruptionUnit>, val empties: Boolean, val spent: Double, val left: Double)
-
-    /** What can be stopped on [machine] now; null, with the reason noted, if nothing. */
-    private fun offer(drain: DrainRecord, machine: Machine): Offer? {
+    private class Offer(
+        val machine: Machine,
+        val units: List<DisruptionUnit>,
+        val costs: Map<String, Capacity>,
+        val empties: Boolean,
+        val spent: Double,
+        val left: Int,
+    )
+
+    /** What can be stopped on [machine] beside what is [taken]; null, with the reason noted, if nothing. */
+    private fun offer(drain: DrainRecord, machine: Machine, taken: Taken): Offer? {
         val units = unitsOn[machine.name].orEmpty()
         val reason = blocked(machine, units)
         if (reason != null) {
             wait(drain, machine.name, reason)
             return null
         }
-        val open = units.filter { stoppable(it) }
+        val open = units.filter { stoppable(it) && !taken.has(it) }
         if (open.isEmpty()) return null
         val costs = HashMap<String, Capacity>()
-        val taken = open.filter { affordable(drain, machine, it, costs) }
-        if (taken.isEmpty()) return null
-        val availability = availability ?: return null
-        val spent = costs.maxOf { (team, cost) -> availability.of(team).let { (it.unavailable + cost).partOf(it.allowed) } }
-        val tasks = taken.sumOf { it.tasks.size }
-        return Offer(machine, taken, taken.size == open.size, spent, (open.sumOf { it.tasks.size } - tasks).toDouble())
+        val some = open.filter { affordable(drain, machine, it, taken, costs) }
+        val availability = availability
+        if (some.isEmpty() || availability == null) return null
+        val spent = costs.maxOf { (team, cost) ->
+            availability.of(team).let { (it.unavailable + taken.cost(team) + cost).partOf(it.allowed) }
+        }
+        return Offer(machine, some, costs, some.size == open.size, spent, open.sumOf { it.tasks.size } - some.sumOf { it.tasks.size })
     }
 
     /** Why nothing on [machine] may be stopped now, whatever the budgets hold. */
@@ -226,9 +261,16 @@
     private fun stoppable(unit: DisruptionUnit): Boolean = !unit.job.cancelled && unit.tasks.any { unit.job.placed(it)?.stopping == false }
 
     /** Adds a unit's cost to [costs] if its team can bear it. */
-    private fun affordable(drain: DrainRecord, machine: Machine, unit: DisruptionUnit, costs: MutableMap<String, Capacity>): Boolean {
+    private fun affordable(
+        drain: DrainRecord,
+        machine: Machine,
+        unit: DisruptionUnit,
+        taken: Taken,
+        costs: MutableMap<String, Capacity>,
+    ): Boolean {
         val budget = budgetOf(unit)
-        val before = costs[unit.team] ?: Capacity.NONE
+        val here = costs[unit.team] ?: Capacity.NONE
+        val before = taken.cost(unit.team) + here
         val cost = cost(unit)
         val older = claimed[unit.team]
         if (older != null && older != drain.id) {
@@ -245,7 +287,7 @@
             claimed.putIfAbsent(unit.team, drain.id)
             return false
         }
-        costs[unit.team] = before + cost
+        costs[unit.team] = here + cost
         return true
     }
 
@@ -264,6 +306,12 @@
         const val ALL_MACHINES = "*"
         private const val PERCENT = 100.0
 
+        /**
+         * Machines in one step. One machine a step took three times as long as the budgets allow at 500 machines; what a
+         * transaction holds of them is the reconciler's to see to.
+         */
+        private const val MOST_MACHINES = 8
+
         /** A share of a whole number of machines must not become one more by the last bit. */
         private const val ROUNDING = 1e-9
 
@@ -278,6 +326,7 @@
          * so the cheapest machines go first, and teams that lack the least take their turn. Of machines that no step
          * empties, the one that is nearest to it.
          */
-        private val OFFERS = compareBy<Offer>({ !it.empties }, { if (it.empties) it.spent else it.left }, { it.spent }, { it.machine.name })
+        private val OFFERS =
+            compareBy<Offer>({ !it.empties }, { if (it.empties) it.spent else it.left.toDouble() }, { it.spent }, { it.machine.name })
     }
 }
--- a/src/main/kotlin/flaxfield/drain/DrainReconciler.kt
+++ b/src/main/kotlin/flaxfield/drain/DrainReconciler.kt
@@ -103,7 +103,7 @@
     private fun step(snapshot: FleetSnapshot, action: DrainAction.Step, term: ULong) {
         var units = action.units
         while (units.isNotEmpty()) {
-            val txn = DrainSteps(snapshot, term).transaction(action.drain, action.machine, units)
+            val txn = DrainSteps(snapshot, term).transaction(action.drain, action.machines, units)
             if (Sizes.fault(txn, limits) != null) {
                 // The first of two units may be as large as both; the last halving leaves one.
                 units = units.take(units.size / 2)
@@ -113,20 +113,20 @@
             send(action, units, txn, term)
             return
         }
-        log.error("drain={} host={} nothing on it fits one transaction", action.drain.id, action.machine.name)
+        log.error("drain={} hosts={} nothing on them fits one transaction", action.drain.id, names(action))
     }
 
     private fun send(action: DrainAction.Step, units: List<DisruptionUnit>, txn: Txn, term: ULong) {
         context.commit(Cause.GANG, txn) { outcome ->
             if (outcome !is Outcome.Committed) {
-                log.debug("drain={} host={} step outcome={}", action.drain.id, action.machine.name, outcome)
+                log.debug("drain={} hosts={} step outcome={}", action.drain.id, names(action), outcome)
                 return@commit
             }
             for (u in units) {
                 log.info(
-                    "drain={} host={} job={} tasks={} team={} term={} charged, to stop",
+                    "drain={} hosts={} job={} tasks={} team={} term={} charged, to stop",
                     action.drain.id,
-                    action.machine.name,
+                    names(action),
                     u.job.id,
                     u.tasks,
                     u.team,
@@ -136,6 +136,8 @@
         }
     }
 
+    private fun names(action: DrainAction.Step) = action.machines.map { it.name }
+
     /** Drains that are over are kept for a while, the latest of them. */
     private fun forgetOld(snapshot: FleetSnapshot) {
         val over = snapshot.drains.values.filter { it.phase.isOver }
@@ -168,15 +170,15 @@
 class DrainSteps(private val snapshot: FleetSnapshot, private val term: ULong) {
     /**
      * Stops [units] and charges them. Its conditions are the term, the drain's record, the ledgers of the teams, the loss
-     * mark of each member, the job records and the machine: a charge of another drain, a loss, or an operator's pause
+     * mark of each member, the job records and the machines: a charge of another drain, a loss, or an operator's pause
      * committed in between makes all of it fail.
      */
-    fun transaction(drain: DrainRecord, machine: Machine, units: List<DisruptionUnit>): Txn {
+    fun transaction(drain: DrainRecord, machines: List<Machine>, units: List<DisruptionUnit>): Txn {
         val conditions = HashMap<String, ULong>()
         val changes = ArrayList<Change>()
         conditions[StoreKeys.ASSIGNMENT] = term
         conditions[FleetKeys.DRAIN + drain.id] = drain.version
-        conditions[StoreKeys.HOST + machine.name] = machine.version
+        for (m in machines) conditions[StoreKeys.HOST + m.name] = m.version
         for (member in snapshot.assignment?.members.orEmpty()) {
             conditions[FleetKeys.LOSS + member.name] = snapshot.lossMarks[member.name] ?: 0uL
         }
