--- a/src/main/kotlin/flaxfield/drain/DrainPlanner.kt
+++ b/src/main/kotlin/flaxfield/drain/DrainPlanner.kt
@@ -96,7 +96,7 @@
                 else -> Unit
             }
         }
-        // Stopped before all its machines are known, a task went to one that was taken next, and was stopped again.
+        // Stopped before all machines of its drain are cordoned, a task may go to one that is taken next, to be stopped again.
         val unsettled = actions.filter { it is DrainAction.Cordon || it is DrainAction.Count }.mapTo(HashSet()) { it.drain.id }
         step(open.filter { it.phase == DrainPhase.ACTIVE && it.id !in unsettled })
         return DrainPlan(actions, waits)
--- a/src/test/kotlin/flaxfield/drain/DrainMeasurement.kt
+++ b/src/test/kotlin/flaxfield/drain/DrainMeasurement.kt
@@ -76,7 +76,7 @@
         )
         val broken = cluster.rules.broken.take(3) + cluster.state.broken.take(3) + workers.checker.overcharged.take(3)
         println(
-            "  halts=${workers.checker.halts.values.sum()} mean unavailable=%.1f s, bound by the budget=%.0f s".format(
+            "  stops=${workers.stops.values.sum()} of ${workers.stops.size} tasks, mean unavailable=%.1f s, bound by the budget=%.0f s".format(
                 workers.meanS,
                 bound(),
             ) +
@@ -99,7 +99,7 @@
 
     /** The least time that the budget allows: each team's stopped tasks, so many at once, each for as long as it was away. */
     private fun bound(): Double = DrainDay.TEAMS.maxOf { team ->
-        val halted = workers.checker.halts.filterKeys { cluster.specs[it]?.owner == team }.values.sum()
+        val halted = workers.stops.filterKeys { cluster.specs[it.substringBefore('/')]?.owner == team }.values.sum()
         val atOnce = maxOf(1, (perTeam * share).toInt())
         halted.toDouble() / atOnce * workers.meanS
     }
@@ -129,6 +129,9 @@
     private var count = 0
     private val runs = HashSet<String>()
     val running: Int get() = runs.size
+
+    /** How often each task was stopped; a halt that is told twice is one stop. */
+    val stops = HashMap<String, Int>()
     val meanS: Double get() = if (count == 0) 0.0 else sum / count
 
     override fun runs(spec: JobSpec, index: Int) {
@@ -141,7 +144,7 @@
     }
 
     override fun halted(spec: JobSpec, index: Int, windDownS: Double) {
-        since.putIfAbsent("${spec.id}/$index", now())
+        if (since.putIfAbsent("${spec.id}/$index", now()) == null) stops.merge("${spec.id}/$index", 1, Int::plus)
         checker.halted(spec, index, windDownS)
     }
 
