--- a/src/test/kotlin/flaxfield/drain/DrainMeasurement.kt
+++ b/src/test/kotlin/flaxfield/drain/DrainMeasurement.kt
@@ -76,7 +76,8 @@
         )
         val broken = cluster.rules.broken.take(3) + cluster.state.broken.take(3) + workers.checker.overcharged.take(3)
         println(
-            "  stops=${workers.stops.values.sum()} of ${workers.stops.size} tasks, mean unavailable=%.1f s, bound by the budget=%.0f s".format(
+            "  stops=${workers.stops.values.sum()} of ${workers.stops.size} tasks, " +
+                "mean unavailable=%.1f s, bound by the budget=%.0f s".format(workers.meanS, bound()) +
                 workers.meanS,
                 bound(),
             ) +
