--- a/src/test/kotlin/flaxfield/drain/DrainMeasurement.kt
+++ b/src/test/kotlin/flaxfield/drain/DrainMeasurement.kt
@@ -78,9 +78,6 @@
         println(
             "  stops=${workers.stops.values.sum()} of ${workers.stops.size} tasks, " +
                 "mean unavailable=%.1f s, bound by the budget=%.0f s".format(workers.meanS, bound()) +
-                workers.meanS,
-                bound(),
-            ) +
                 " leases lost=${cluster.rules.leasesLost} broken=$broken",
         )
         println(
