--- a/src/main/kotlin/flaxfield/arrays/ArrayScheduler.kt
+++ b/src/main/kotlin/flaxfield/arrays/ArrayScheduler.kt
@@ -9,7 +9,6 @@
 import flaxfield.jobs.TaskCompletion
 import flaxfield.jobs.Validation
 import flaxfield.node.NodeContext
-import flaxfield.quota.JobOrder
 import flaxfield.quota.TeamUse
 import flaxfield.store.Cause
 import flaxfield.store.Change
@@ -47,14 +46,8 @@
         // Asked before anything is looked at: while changes were scarce, sorting the waiting jobs each turn was in vain.
         if (!context.maySpend(Cause.ARRAY, 1)) return
         val w = context.view
-        val waiting = w.jobs.values.filter {
-            !it.isGang &&
-                !it.cancelled &&
-                it.pendingCount > 0 &&
-                it.retryAtMs <= context.nowMs &&
-                it.id !in inFlight &&
-                !context.isBusy(StoreKeys.JOB + it.id)
-        }
+        val pending = w.jobs.values.filter { !it.isGang && !it.cancelled && it.pendingCount > 0 && it.retryAtMs <= context.nowMs }
+        val (waiting, underWay) = pending.partition { it.id !in inFlight && !context.isBusy(StoreKeys.JOB + it.id) }
         waitingSinceNs.keys.retainAll(waiting.mapTo(HashSet()) { it.id })
         if (waiting.isEmpty()) return
         // Nothing smaller than this waits: a machine with less room is no seat for anyone.
@@ -66,11 +59,15 @@
         val seats = seats(least)
         if (seats.isEmpty()) return
         val use = context.use()
-        val guaranteed = context.guaranteed()
         val held = HeldSeats { context.view.machineTypes[it.machine.machineType]?.room ?: Room.NONE }
         val members = context.view.assignment?.members?.size ?: 1
-        for (job in JobOrder.sort(waiting, guaranteed, use, JobOrder.lateMs(context.nowMs), context::aimed)) {
-            if (!myTurn(job)) continue
+        val gate = context.zones?.gate(underWay)
+        for (job in context.inOrder(waiting, use)) {
+            if (gate?.admits(job) == false) break
+            if (!myTurn(job)) {
+                gate?.passOver(job)
+                continue
+            }
             // Those after it are less urgent: none of them goes first for want of a change.
             if (!context.maySpend(Cause.ARRAY, if (fenced(job)) 2 else 1)) break
             val fit = fit(job, seats).filter { held.offered(job.spec, it) }
@@ -138,11 +135,7 @@
             !it.isGang && !it.cancelled && it.pendingCount > 0 && it.retryAtMs <= context.nowMs
         }
         val use = context.use()
-        if (JobOrder.sort(waiting + job, context.guaranteed(), use, JobOrder.lateMs(context.nowMs), context::aimed).first() !==
-            job
-        ) {
-            return null
-        }
+        if (context.inOrder(waiting + job, use).first() !== job) return null
         val seats = fit(job, seats(job.spec.need))
         val most = context.allows(job, use)
         val found = ArrayRound.place(job, seats, ZoneRule(job.spec, emptyList()), 0, ArrayRound.Limits(most))
@@ -206,6 +199,7 @@
     }
 
     private fun open(m: Machine): Boolean = m.takesWork &&
+        context.zones?.admits(m) != false &&
         context.view.claimOn(m) == null &&
         !context.isBusy(StoreKeys.HOST + m.name) &&
         hosts.state(m.name) == HostState.OK
--- a/src/main/kotlin/flaxfield/arrays/RoomSummary.kt
+++ b/src/main/kotlin/flaxfield/arrays/RoomSummary.kt
@@ -2,6 +2,8 @@
 
 import flaxfield.BYTES_PER_KIB
 import flaxfield.codec.Obj
+import flaxfield.zones.Hearing
+import flaxfield.zones.ZoneHearing
 
 /** How a machine stands with its owner. */
 enum class HostState {
@@ -32,7 +34,12 @@
 )
 
 /** What a part tells the leader about some of its machines, under one term. Free room follows from the records. */
-data class RoomSummary(val term: ULong, val hosts: Map<String, HostRoom>)
+data class RoomSummary(
+    val term: ULong,
+    val hosts: Map<String, HostRoom>,
+    /** What it hears of each zone: on its first page only, and only where zones are watched. */
+    val hearings: Map<String, ZoneHearing>? = null,
+)
 
 /**
  * Pure: a part's machines dealt into summaries that each fit one value of the state service. One value for
@@ -81,7 +88,7 @@
     fun encode(s: RoomSummary): Map<String, Any?> = mapOf(
         "term" to s.term,
         "hosts" to s.hosts.map { (name, h) -> listOf(name, h.state.ordinal, h.session, h.address, h.images) },
-    )
+    ) + (s.hearings?.let { mapOf("zones" to it.map { (zone, h) -> listOf(zone, h.expected, h.hearing.ordinal) }) } ?: emptyMap())
 
     fun decode(o: Obj): RoomSummary = RoomSummary(
         o.needCount("term"),
@@ -94,5 +101,9 @@
                 (row[4] as List<*>).map { it as String },
             )
         },
+        o.list("zones")?.associate { row ->
+            row as List<*>
+            row[0] as String to ZoneHearing((row[1] as Number).toInt(), Hearing.entries[(row[2] as Number).toInt()])
+        },
     )
 }
--- a/src/main/kotlin/flaxfield/arrays/RoomSummaryPublisher.kt
+++ b/src/main/kotlin/flaxfield/arrays/RoomSummaryPublisher.kt
@@ -9,6 +9,7 @@
 import flaxfield.store.StoreKeys
 import flaxfield.store.Txn
 import flaxfield.workers.WorkerHealth
+import flaxfield.zones.ZoneHearing
 
 /** Tells the leader how the machines of this node's part stand. */
 class RoomSummaryPublisher(private val context: NodeContext, private val hosts: WorkerHealth) {
@@ -34,14 +35,21 @@
         if (withImages) nextImagesNs = context.nowNs + (context.settings.workers.reportS * IMAGES_REPORTS * NANOS_PER_SECOND).toLong()
         // The last page first: when pages split, rows appear in their new page before they leave the old one.
         for (page in dealt.indices.reversed()) {
-            val now = RoomSummary(term, dealt[page])
             val before = sent[page]
+            val now = RoomSummary(term, dealt[page], if (page == 0) hearings(before) else null)
             if (now == before || before != null && !withImages && sameStates(before, now)) continue
             write(page, now, before == null || !sameStates(before, now))
         }
     }
 
-    private fun sameStates(a: RoomSummary, b: RoomSummary): Boolean = a.hosts.size == b.hosts.size &&
+    /** What is heard of the zones, counts only as they were [before] where they matter no more: each would be a write. */
+    private fun hearings(before: RoomSummary?): Map<String, ZoneHearing>? {
+        if (context.zones == null) return null
+        return hosts.hearings().mapValues { (zone, now) -> before?.hearings?.get(zone)?.takeIf { it.isLike(now) } ?: now }
+    }
+
+    private fun sameStates(a: RoomSummary, b: RoomSummary): Boolean = a.hearings == b.hearings &&
+        a.hosts.size == b.hosts.size &&
         b.hosts.all { (name, room) -> a.hosts[name]?.let { it.state == room.state && it.session == room.session } ?: false }
 
     private fun write(page: Int, now: RoomSummary, pressing: Boolean) {
--- a/src/main/kotlin/flaxfield/cli/Main.kt
+++ b/src/main/kotlin/flaxfield/cli/Main.kt
@@ -17,7 +17,7 @@
 private const val EXIT_FAULT = 3
 
 /** The first words of the clients' commands. */
-private val OPERATOR_COMMANDS = setOf("drain", "budget", "machines", "explain")
+private val OPERATOR_COMMANDS = setOf("drain", "budget", "machines", "explain", "zone")
 
 /** The command line; the model is built by hand, since annotations would cost reflection at every start. */
 fun commandLine(): CommandLine {
@@ -38,7 +38,7 @@
     serve.addHelp()
     val root = CommandSpec.create().name("flaxfield").version("flaxfield $VERSION")
     root.usageMessage().description("A cluster scheduler that places gangs all-or-nothing and arrays by parts.")
-    root.usageMessage().footer("Operators' commands, each with its own --help: drain, budget, machines, explain.")
+    root.usageMessage().footer("Operators' commands, each with its own --help: drain, budget, machines, explain, zone.")
     root.addHelp()
     root.addSubcommand("serve", serve)
     serve.version("flaxfield $VERSION")
--- a/src/main/kotlin/flaxfield/client/OperatorCommands.kt
+++ b/src/main/kotlin/flaxfield/client/OperatorCommands.kt
@@ -38,7 +38,7 @@
 @Command(
     name = "flaxfield",
     mixinStandardHelpOptions = true,
-    subcommands = [DrainCommand::class, BudgetCommand::class, MachinesCommand::class, ExplainCommand::class],
+    subcommands = [DrainCommand::class, BudgetCommand::class, MachinesCommand::class, ExplainCommand::class, ZoneCommand::class],
 )
 private class Root
 
--- a/src/main/kotlin/flaxfield/client/Output.kt
+++ b/src/main/kotlin/flaxfield/client/Output.kt
@@ -9,11 +9,15 @@
 import flaxfield.operator.v1.Capacity
 import flaxfield.operator.v1.Drain
 import flaxfield.operator.v1.DrainReply
+import flaxfield.operator.v1.FairShare
 import flaxfield.operator.v1.JobExplanation
+import flaxfield.operator.v1.Zone
+import flaxfield.operator.v1.ZoneReply
 import java.time.Instant
 import flaxfield.operator.v1.BudgetList as Budgets
 import flaxfield.operator.v1.DrainList as Drains
 import flaxfield.operator.v1.MachineList as Machines
+import flaxfield.operator.v1.ZoneList as Zones
 
 /** How answers are printed. */
 enum class OutputForm { TABLE, JSON }
@@ -65,6 +69,32 @@
         revision(reply.revision)
     }
 
+    fun zones(reply: Zones, form: OutputForm) = print(reply, form) {
+        zones(reply.zonesList)
+        shares(reply.sharesList)
+        revision(reply.revision)
+    }
+
+    fun zone(reply: ZoneReply, form: OutputForm) = print(reply, form) {
+        zones(listOf(reply.zone))
+        shares(reply.sharesList)
+        revision(reply.revision)
+    }
+
+    private fun zones(all: List<Zone>) = table(listOf("ZONE", "STATE", "LOSSES", "MACHINES", "OPEN", "HELD", "ABANDONED", "SINCE")) {
+        for (z in all) {
+            val held = z.heldList.joinToString(" ") { "${it.jobClass}:${it.tasks}" }
+            val since = if (z.sinceMs == 0L) "" else Instant.ofEpochMilli(z.sinceMs).toString()
+            row(z.name, z.state, z.incarnation, z.machines, z.openMachines, held, z.abandonedList.joinToString(" "), since)
+        }
+    }
+
+    private fun shares(all: List<FairShare>) = table(listOf("TEAM", "FAIR", "HAS", "SHORT")) {
+        for (s in all) row(s.team, amount(s.target), amount(s.held), "%.0f %%".format(s.shortfall * PERCENT))
+    }
+
+    private const val PERCENT = 100.0
+
     private fun budgets(all: List<Budget>) = table(listOf("TEAM", "EXPECTED", "MAY LACK", "LACKS", "BY")) {
         for (b in all) {
             val spent = b.spentList.joinToString(" ") { "${it.by}:${it.tasks}" }
--- a/src/main/kotlin/flaxfield/drain/Budgets.kt
+++ b/src/main/kotlin/flaxfield/drain/Budgets.kt
@@ -84,6 +84,8 @@
     val surgeMachines: Int,
     /** Machines that drains may keep new work off at once. */
     val maxCordoned: Int,
+    /** How urgent classes are when a zone is lost, 0 first; classes that are not named are as urgent as their jobs' priority. */
+    val recoveryTiers: Map<String, Int> = emptyMap(),
 )
 
 /** The files of all controllers taken together. While they differ, the strictest of them applies. */
@@ -95,6 +97,9 @@
     /** Whether tasks of a class may be started again. */
     fun repeat(jobClass: String): RepeatPolicy = configs.minOf { it.classes[jobClass] ?: it.defaultRepeat }
 
+    /** How urgent a class is when a zone is lost; null if no file says. */
+    fun recoveryTier(jobClass: String): Int? = configs.mapNotNull { it.recoveryTiers[jobClass] }.minOrNull()
+
     val surgeMachines: Int get() = configs.minOf { it.surgeMachines }
 
     val maxCordoned: Int get() = configs.minOf { it.maxCordoned }
--- a/src/main/kotlin/flaxfield/drain/DrainCodec.kt
+++ b/src/main/kotlin/flaxfield/drain/DrainCodec.kt
@@ -62,6 +62,7 @@
         "default_repeat" to c.defaultRepeat.name.lowercase(),
         "surge_machines" to c.surgeMachines,
         "max_cordoned" to c.maxCordoned,
+        "recovery_tiers" to c.recoveryTiers,
     )
 
     fun config(o: Obj) = FleetConfig(
@@ -72,6 +73,7 @@
         repeat(o.needText("default_repeat")),
         o.needInt("surge_machines"),
         o.needInt("max_cordoned"),
+        o.obj("recovery_tiers")?.let { all -> all.map.keys.associateWith { all.needInt(it) } }.orEmpty(),
     )
 
     private fun encode(limit: BudgetLimit): Map<String, Any?> = when (limit) {
--- a/src/main/kotlin/flaxfield/drain/DrainOrders.kt
+++ b/src/main/kotlin/flaxfield/drain/DrainOrders.kt
@@ -1,13 +1,8 @@
 package flaxfield.drain
 
 import flaxfield.BYTES_PER_KIB
-import flaxfield.NANOS_PER_SECOND
 import flaxfield.node.NodeContext
-import flaxfield.store.Cause
-import flaxfield.store.Change
-import flaxfield.store.Outcome
 import flaxfield.store.Sizes
-import flaxfield.store.Txn
 import org.slf4j.LoggerFactory
 
 /** What an operator asks for. */
@@ -26,12 +21,18 @@
     data class Cancel(override val id: String) : DrainOrder
 }
 
-/** What became of an order. */
-sealed interface OrderResult {
+/** What became of an order whose record is an [R]. */
+sealed interface OrderResult<out R> {
     /** It is recorded, now or by an earlier copy of it. */
-    data class Recorded(val drain: DrainRecord, val revision: ULong) : OrderResult
+    data class Recorded<R>(val record: R, val revision: ULong) : OrderResult<R>
 
-    data class Refused(val fault: OrderFault, val message: String) : OrderResult
+    data class Refused(val fault: OrderFault, val message: String) : OrderResult<Nothing>
+
+    /** The same outcome, with what [make] makes of the revision as its record. */
+    fun <T> recordedAs(make: (ULong) -> T): OrderResult<T> = when (this) {
+        is Recorded -> Recorded(make(revision), revision)
+        is Refused -> this
+    }
 }
 
 /** Why an order is refused. */
@@ -57,8 +58,10 @@
  * the same id is answered as the first one was.
  */
 class DrainOrders(private val context: NodeContext) {
+    private val writer = OrderWriter(context)
+
     /** Takes [order]; [done] is called on the owner thread. */
-    fun take(order: DrainOrder, snapshot: FleetSnapshot, done: (OrderResult) -> Unit) {
+    fun take(order: DrainOrder, snapshot: FleetSnapshot, done: (OrderResult<DrainRecord>) -> Unit) {
         val known = snapshot.drains[order.id]
         when (val next = DrainOrderRules.next(order, known, snapshot, context.nowMs)) {
             is NextRecord.Keep -> done(OrderResult.Recorded(next.drain, snapshot.revision))
@@ -67,38 +70,22 @@
         }
     }
 
-    private fun write(drain: DrainRecord, done: (OrderResult) -> Unit) {
-        val key = FleetKeys.DRAIN + drain.id
+    private fun write(drain: DrainRecord, done: (OrderResult<DrainRecord>) -> Unit) {
         val value = DrainCodec.encode(drain)
         if (Sizes.json(value) > context.settings.stateLimits.valueKb * BYTES_PER_KIB * SELECTOR_SHARE) {
             return done(OrderResult.Refused(OrderFault.INVALID, "the selector names too many machines"))
         }
-        if (stateIsAway()) return done(OrderResult.Refused(OrderFault.UNAVAILABLE, "the state service does not answer"))
-        if (context.isBusy(key)) return done(OrderResult.Refused(OrderFault.UNAVAILABLE, "drain ${drain.id} is just being changed"))
-        val sent = context.commit(Cause.FLEET, Txn(mapOf(key to drain.version), listOf(Change.Put(key, value)))) { outcome ->
-            when (outcome) {
-                is Outcome.Committed -> {
-                    log.info("drain={} phase={} ordered: {}", drain.id, drain.phase, drain.selector)
-                    done(OrderResult.Recorded(drain.copy(version = outcome.revision), outcome.revision))
-                }
-                is Outcome.Conflict -> done(OrderResult.Refused(OrderFault.UNAVAILABLE, "drain ${drain.id} has just changed"))
-                is Outcome.Refused -> done(OrderResult.Refused(OrderFault.UNAVAILABLE, "the state service refuses changes"))
-                is Outcome.Unknown -> done(OrderResult.Refused(OrderFault.UNKNOWN, "the state service does not answer"))
-            }
+        writer.write("drain ${drain.id}", FleetKeys.DRAIN + drain.id, drain.version, value) { result ->
+            if (result is OrderResult.Recorded) log.info("drain={} phase={} ordered: {}", drain.id, drain.phase, drain.selector)
+            done(result.recordedAs { drain.copy(version = it) })
         }
-        if (!sent) done(OrderResult.Refused(OrderFault.UNAVAILABLE, "too many changes at once"))
     }
 
-    private fun stateIsAway(): Boolean = context.nowNs - context.stateOkNs > context.settings.workers.leaseS * AWAY_SHARE * NANOS_PER_SECOND
-
     private companion object {
         val log = LoggerFactory.getLogger("flaxfield.drain")
 
         /** What a selector may take of its value; the rest is for the drain's progress. */
         const val SELECTOR_SHARE = 0.9
-
-        /** The state service seems away after this share of a worker's lease without an answer. */
-        const val AWAY_SHARE = 0.25
     }
 }
 
--- a/src/main/kotlin/flaxfield/drain/FleetControl.kt
+++ b/src/main/kotlin/flaxfield/drain/FleetControl.kt
@@ -9,6 +9,9 @@
 import flaxfield.store.Change
 import flaxfield.store.StoreKeys
 import flaxfield.store.Txn
+import flaxfield.zones.AbandonOrder
+import flaxfield.zones.AbandonOrders
+import flaxfield.zones.FleetZoneRules
 
 /** All that a fleet file switches on in one controller; the owner thread calls it. */
 class FleetControl(parts: SubsystemParts, @Volatile private var config: FleetConfig) : Subsystem {
@@ -18,8 +21,14 @@
     val publisher = SnapshotPublisher(context.view).also { context.view.observer = it }
 
     private val orders = DrainOrders(context)
+    private val abandons = AbandonOrders(context)
     private val drains = DrainReconciler(context)
     private val restores = RestoreReconciler(context, parts.health)
+
+    init {
+        context.zones?.rules = FleetZoneRules { publisher.current }
+    }
+
     private val gapNs = (context.settings.workers.reportS * GAP_REPORTS * NANOS_PER_SECOND).toLong()
     private var nextNs = 0L
     private var marks = 0L
@@ -28,11 +37,17 @@
      * Takes an operator's order; [done] is called on the owner thread. Not before the view is complete: on the empty one of a
      * process that has just started, every machine, zone and drain was called unknown.
      */
-    fun order(order: DrainOrder, done: (OrderResult) -> Unit) {
+    fun order(order: DrainOrder, done: (OrderResult<DrainRecord>) -> Unit) {
         if (!publisher.complete) return done(OrderResult.Refused(OrderFault.UNAVAILABLE, "this node is reading its view"))
         orders.take(order, publisher.current, done)
     }
 
+    /** Takes an operator's order to give up on what [jobClass] had in the lost [zone], like [order]. */
+    fun abandon(zone: String, jobClass: String, done: (OrderResult<AbandonOrder>) -> Unit) {
+        if (!publisher.complete) return done(OrderResult.Refused(OrderFault.UNAVAILABLE, "this node is reading its view"))
+        abandons.take(zone, jobClass, publisher.current, done)
+    }
+
     /** From here on [config] is what this node publishes as its file. Safe from any thread. */
     fun reload(config: FleetConfig) {
         this.config = config
--- a/src/main/kotlin/flaxfield/drain/FleetSnapshot.kt
+++ b/src/main/kotlin/flaxfield/drain/FleetSnapshot.kt
@@ -6,6 +6,8 @@
 import flaxfield.jobs.Job
 import flaxfield.members.Assignment
 import flaxfield.store.StoreKeys
+import flaxfield.zones.AbandonOrder
+import flaxfield.zones.ZoneRecord
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentHashMapOf
 
@@ -27,6 +29,10 @@
     val configs: PersistentMap<String, FleetConfig> = persistentHashMapOf(),
     /** The version of each controller's loss mark. */
     val lossMarks: PersistentMap<String, ULong> = persistentHashMapOf(),
+    /** How zones stand; those that never failed have no record. */
+    val zones: Map<String, ZoneRecord> = emptyMap(),
+    /** Operators' orders to give up on what classes had in lost zones, by [AbandonOrder.name]. */
+    val abandons: PersistentMap<String, AbandonOrder> = persistentHashMapOf(),
 ) {
     /** Members of the assignment that do not run with a fleet file, or have not published it yet. */
     fun membersWithoutConfig(): List<String> = assignment?.members.orEmpty()
@@ -48,4 +54,5 @@
     const val LEDGER = StoreKeys.FLEET + "ledger/"
     const val CONFIG = StoreKeys.FLEET + "config/"
     const val LOSS = StoreKeys.FLEET + "loss/"
+    const val ABANDON = StoreKeys.FLEET + "abandon/"
 }
--- a/src/main/kotlin/flaxfield/drain/SnapshotPublisher.kt
+++ b/src/main/kotlin/flaxfield/drain/SnapshotPublisher.kt
@@ -4,6 +4,7 @@
 import flaxfield.store.Item
 import flaxfield.store.StoreKeys
 import flaxfield.store.ViewObserver
+import flaxfield.zones.AbandonCodec
 import org.slf4j.LoggerFactory
 
 /**
@@ -78,6 +79,7 @@
             machines = machines,
             rooms = rooms,
             machineTypes = view.machineTypes,
+            zones = if (next.zones == view.zones) next.zones else HashMap(view.zones),
         )
         complete = true
         current = next
@@ -100,6 +102,10 @@
                     val node = key.removePrefix(FleetKeys.CONFIG)
                     next.copy(configs = next.configs.set(node, value?.let(DrainCodec::config)))
                 }
+                key.startsWith(FleetKeys.ABANDON) -> {
+                    val name = key.removePrefix(FleetKeys.ABANDON)
+                    next.copy(abandons = next.abandons.set(name, value?.let { AbandonCodec.decode(name, it, item.version) }))
+                }
                 key.startsWith(FleetKeys.LOSS) ->
                     next.copy(lossMarks = next.lossMarks.set(key.removePrefix(FleetKeys.LOSS), item.version))
                 else -> next
--- a/src/main/kotlin/flaxfield/fleet/FleetDemand.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetDemand.kt
@@ -21,7 +21,6 @@
     fun demands(): List<Demand> {
         val w = context.view
         val use = context.use()
-        val guaranteed = context.guaranteed()
         val claimed = w.machines.values.mapNotNullTo(HashSet()) { m -> w.claimOn(m)?.job }
         val waiting = w.jobs.values.filter { it.pendingCount > 0 && !it.cancelled && it.id !in claimed && it.retryAtMs <= context.nowMs }
         val result = ArrayList<Demand>()
@@ -29,7 +28,7 @@
         val endsPerS = w.jobs.values.filter { !it.isGang && it.spec.preemptible }.sumOf { it.placedCount / maxOf(1.0, it.spec.expectS) }
         var ahead = 0
         val late = JobOrder.lateMs(context.nowMs)
-        val ordered = JobOrder.sort(waiting, guaranteed, use, late, context::aimed)
+        val ordered = context.inOrder(waiting, use)
         for (j in Gathering.first(gathers(waiting, use), ordered)) {
             // What seems to be a mistake is tried on what is there: nothing is rented for it, for a long while.
             if (j.comesLast(late)) continue
@@ -63,6 +62,7 @@
      * when it is long late, or soon when there are no cheap ones for it at all.
      */
     private fun pressing(j: Job, queueS: Double): Boolean {
+        if (context.zones?.keepsToCheap(j) == true) return false
         val ageS = (context.nowMs - j.submittedMs) / MILLIS_PER_SECOND
         val aims = context.settings.objectives.filter { it.jobClass == j.spec.jobClass }
         if (FleetRules.pressesToStart(ageS, lead(j.spec), queueS, aims.filter { it.kind == "wait" }.map { it.withinS })) return true
--- a/src/main/kotlin/flaxfield/fleet/FleetReconciler.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetReconciler.kt
@@ -164,12 +164,13 @@
         val conditions = HashMap(TaskCompletion.fence(context))
         val due = w.machines.values.mapNotNull { m ->
             if (m.phase == MachinePhase.RETIRING || context.isBusy(StoreKeys.HOST + m.name)) return@mapNotNull null
+            if (context.zones?.mayReturn(m) == false) return@mapNotNull null
             val why = reasonToRetire(m) ?: return@mapNotNull null
             val phase = if (why == SURPLUS) MachinePhase.DRAINING else MachinePhase.RETIRING
             if (phase == m.phase) null else Triple(m, phase, why)
         }
-        // Tasks wait for the return of the machines that they are on: behind a thousand idle ones they did for minutes.
-        for ((m, phase, why) in due.sortedBy { w.isEmpty(it.first.name) }) {
+        val byName = due.associateBy { it.first.name }
+        for ((m, phase, why) in ReturnOrder.sort(context, due.map { it.first }).map { byName.getValue(it.name) }) {
             if (changes.size >= context.budget.bulk(context.settings.stateLimits.txnOps)) break
             conditions[StoreKeys.HOST + m.name] = m.version
             changes += Change.Put(StoreKeys.HOST + m.name, FleetCodec.encode(m.copy(phase = phase, claim = null)))
@@ -194,7 +195,7 @@
             w.jobsOn(m.name).firstOrNull { j -> j.cancelledMs?.let { context.nowMs - it > limit } ?: false }
         }
         return when {
-            room.state == HostState.SILENT -> "silent"
+            room.state == HostState.SILENT -> if (context.zones?.givesUp(m) == false) null else "silent"
             room.state == HostState.FAULTY -> "faulty"
             room.state == HostState.UNSEEN && empty && settled() && boot(m, machineType) == Boot.LOST -> "never came up"
             overdue != null -> "cancelled ${overdue.id} is still on it"
@@ -240,7 +241,7 @@
         val now = context.nowNs
         val term = context.term()
         for (m in w.machines.values.sortedBy { it.name }) {
-            if (!m.takesWork || w.claimOn(m) != null) continue
+            if (!m.takesWork || w.claimOn(m) != null || context.zones?.isReachable(m) == false) continue
             val state = w.hostRoom(m.name)?.state ?: HostState.UNSEEN
             if (state != HostState.OK && state != HostState.UNSEEN) continue
             // Room that keeps not coming is not waited for: what is needed is rented in its place, once.
@@ -258,10 +259,12 @@
         bins.sortWith(compareBy({ if (it.preemptible) 0 else 1 }, { -images.getValue(it) }))
         val mostNew =
             maxOf(MOST_PER_HIRE, (context.settings.cloudRps * MOST_PER_HIRE * context.settings.workers.reportS * PLAN_REPORTS).toInt())
+        val mayRent = HashMap<String, Int>()
+        val roomIn = { zone: String -> mayRent.getOrPut(zone) { context.zones?.mayRent(zone) ?: Int.MAX_VALUE } }
         val packing = FleetRules.pack(demand.demands(), bins, w.machineTypes, mostNew, context.reserved::rents, load()) { o ->
             val r = refused[o]
             val f = w.machineTypes[o.machineType]
-            if (f == null || r != null && now < r.untilNs) {
+            if (f == null || r != null && now < r.untilNs || roomIn(o.zone) <= 0) {
                 null
             } else if (o.preemptible) {
                 f.lowRate
@@ -279,7 +282,12 @@
             if (idle) idleSinceNs.putIfAbsent(m.name, now) else idleSinceNs.remove(m.name)
         }
         idleSinceNs.keys.retainAll(w.machines.keys)
-        for ((offer, n) in packing.rent) hire(offer, minOf(n, MOST_PER_HIRE))
+        for ((offer, wanted) in packing.rent) {
+            val n = minOf(wanted, MOST_PER_HIRE, roomIn(offer.zone))
+            if (n <= 0) continue
+            mayRent[offer.zone] = roomIn(offer.zone) - n
+            hire(offer, n)
+        }
     }
 
     /** Machines for each controller of a zone: a zone with one of three controllers gets a third of what may be anywhere. */
--- a/src/main/kotlin/flaxfield/fleet/MachineReturner.kt
+++ b/src/main/kotlin/flaxfield/fleet/MachineReturner.kt
@@ -89,11 +89,11 @@
         if (returnOpen) return
         val limit = ((context.settings.listLagS * 2 + GONE_LISTED_S) * NANOS_PER_SECOND).toLong()
         val unknown = unknownMachines.due(context.view.machines.keys, context.nowNs - limit)
-        // Those with tasks first: these go on elsewhere only on the answer.
         val retiring = context.view.machines.values
             .filter { it.phase == MachinePhase.RETIRING && it.name !in gone && !context.isBusy(StoreKeys.HOST + it.name) }
+            .filter { context.zones?.mayReturn(it) ?: true }
+            .let { ReturnOrder.sort(context, it) }
             .map { it.name }
-            .sortedBy { context.view.isEmpty(it) }
         val names = (retiring + unknown).take(MOST_RETURNED)
         if (names.isEmpty() || !rate.allows(context.nowNs)) return
         returnOpen = true
@@ -119,7 +119,9 @@
             // One that was taken in while its return as a stranger was under way may still be given tasks: it is returned anew.
             if (m.phase == MachinePhase.RETIRING) gone += host
             for (r in context.view.on(host)) {
-                completion.add(TaskEvent.Left(r.job.id, r.placed.index, r.placed.attempt, host, "machine returned", false))
+                completion.add(
+                    TaskEvent.Left(r.job.id, r.placed.index, r.placed.attempt, host, "machine returned", false, fateUnknown = true),
+                )
             }
         }
         dropGone()
--- a/src/main/kotlin/flaxfield/gangs/GangScheduler.kt
+++ b/src/main/kotlin/flaxfield/gangs/GangScheduler.kt
@@ -14,7 +14,6 @@
 import flaxfield.jobs.Room
 import flaxfield.jobs.TaskCompletion
 import flaxfield.node.NodeContext
-import flaxfield.quota.JobOrder
 import flaxfield.quota.TeamUse
 import flaxfield.store.Cause
 import flaxfield.store.Change
@@ -95,7 +94,7 @@
     private fun place(waiting: List<Job>, survey: GangSurvey) {
         val gathers = Gathering.next(waiting, Gathering.lateMs(context.nowMs))
         val atLimit = gathers?.takeIf { survey.use.allows(it.spec.owner, it.spec.need) < it.spec.taskCount }
-        val ordered = JobOrder.sort(waiting, survey.guaranteed, survey.use, JobOrder.lateMs(context.nowMs), context::aimed)
+        val ordered = context.inOrder(waiting, survey.use)
         for (gang in Gathering.first(gathers, ordered)) {
             // It leaves its team's limit to the other for a while only: behind one that never came under it, it waited for minutes.
             if (atLimit != null && !context.waitedLong(gang) && Gathering.yields(gang, atLimit)) continue
@@ -115,7 +114,7 @@
     private fun wake(shapes: List<JobSpec>) {
         var free = 0
         for (m in context.view.machines.values) {
-            if (!m.takesWork) continue
+            if (!m.takesWork || context.zones?.admits(m) == false) continue
             val room = context.view.free(m) ?: continue
             free += shapes.filter { ZoneRule.kindAllowed(it, m.machineType, m.zone, m.preemptible) }.sumOf { room.count(it.need) }
         }
@@ -139,6 +138,7 @@
 
     private fun seat(m: Machine): Seat? {
         if (!m.takesWork || context.view.claimOn(m) != null || context.isBusy(StoreKeys.HOST + m.name)) return null
+        if (context.zones?.admits(m) == false) return null
         val room = context.view.hostRoom(m.name)?.takeIf { it.state == HostState.OK } ?: return null
         return seat(m, room)
     }
@@ -224,7 +224,9 @@
         if (job == null || !context.maySpend(Cause.GANG, 1)) return
         val since = claimedSince.getOrPut(id) { context.nowNs }
         val seats = machines.mapNotNull { m ->
-            context.view.hostRoom(m.name)?.takeIf { it.state == HostState.OK && m.takesWork }?.let { seat(m, it) }
+            context.view.hostRoom(m.name)?.takeIf {
+                it.state == HostState.OK && m.takesWork && context.zones?.admits(m) != false
+            }?.let { seat(m, it) }
         }
         val r = GangRound.run(job, seats)
         if (r is Round.Full) return commit(job, r.seats, machines, use, term)
--- a/src/main/kotlin/flaxfield/jobs/CompletionRules.kt
+++ b/src/main/kotlin/flaxfield/jobs/CompletionRules.kt
@@ -18,6 +18,8 @@
         val failed: Boolean,
         /** Its worker refused to start it: it never ran there. */
         val refused: Boolean = false,
+        /** Whether it may have run to its end before it was gone: nobody has heard how it ended. */
+        val fateUnknown: Boolean = false,
     ) : TaskEvent
 }
 
--- a/src/main/kotlin/flaxfield/jobs/Job.kt
+++ b/src/main/kotlin/flaxfield/jobs/Job.kt
@@ -103,6 +103,9 @@
     val placedCount: Int by lazy(LazyThreadSafetyMode.NONE) { chunks.values.sumOf { it.placed.size } }
     val complete: Boolean get() = doneCount >= spec.taskCount
     val pendingCount: Int get() = spec.taskCount - doneCount - placedCount
+
+    /** Whether any task of it has ever been placed. */
+    val hasBegun: Boolean get() = chunks.values.any { it.next > 1L }
     val isGang: Boolean get() = spec.shape == Shape.GANG
 
     /**
--- a/src/main/kotlin/flaxfield/jobs/TaskCompletion.kt
+++ b/src/main/kotlin/flaxfield/jobs/TaskCompletion.kt
@@ -22,6 +22,7 @@
 
     /** Takes a proof; it is kept until the view shows that the record has moved on. */
     fun add(e: TaskEvent) {
+        if (context.zones?.holdsBack(e) == true) return
         val known = pending.getOrPut(e.job) { Proofs(context.nowNs) }.events.put(e.index to e.attempt, e)
         if (known == null) context.dirty = true
     }
@@ -31,13 +32,12 @@
         val term = context.term() ?: return
         if (!context.mayDecide()) return
         val wanted by lazy(LazyThreadSafetyMode.NONE) { context.view.jobs.values.any { !it.cancelled && it.pendingCount > 0 } }
-        val jobs = pending.iterator()
-        while (jobs.hasNext()) {
-            val (id, proofs) = jobs.next()
+        for (id in inOrder()) {
+            val proofs = pending[id] ?: continue
             val job = context.view.jobs[id]
             proofs.events.values.removeIf { job?.placed(it.index)?.attempt != it.attempt }
             if (job == null || proofs.events.isEmpty()) {
-                jobs.remove()
+                pending.remove(id)
                 continue
             }
             val events = proofs.events.values.toList()
@@ -56,6 +56,13 @@
         if (context.leads()) sweep()
     }
 
+    /** The jobs with proofs, in the order in which these are committed: as they came, the most urgent first in a recovery. */
+    private fun inOrder(): List<String> {
+        val zones = context.zones?.takeIf { it.isRecovering } ?: return pending.keys.toList()
+        val (known, over) = pending.keys.partition { it in context.view.jobs }
+        return zones.sort(known.mapNotNull { context.view.jobs[it] }, context.use(), lateMs = 0).map { it.id } + over
+    }
+
     /** Whether someone waits for just this: a task to start again, a gang, or the end of this part's share of the job. */
     private fun hurry(job: Job, events: List<TaskEvent>): Boolean = job.isGang ||
         job.cancelled ||
--- a/src/main/kotlin/flaxfield/node/Controller.kt
+++ b/src/main/kotlin/flaxfield/node/Controller.kt
@@ -28,6 +28,8 @@
 import flaxfield.workers.HaltDispatcher
 import flaxfield.workers.ReportHandler
 import flaxfield.workers.WorkerHealth
+import flaxfield.zones.ZoneReconciler
+import flaxfield.zones.ZoneRecovery
 import org.slf4j.LoggerFactory
 
 /** The ways out of one controller; the simulation of the tests gives its own. */
@@ -75,6 +77,7 @@
         ClusterView(),
         post,
     )
+    private val zones = if (operator.zoneRecovery || subsystem != null) watchZones() else null
     private val metrics = Metrics()
     private val peers = PeerGateway(context, outside.peer)
     private val completion = TaskCompletion(context)
@@ -100,6 +103,11 @@
     private var decideAnywayNs = 0L
     private var nextLoadNs = 0L
 
+    private fun watchZones(): ZoneReconciler {
+        context.zones = ZoneRecovery(context)
+        return ZoneReconciler(context)
+    }
+
     fun start() = follower.start()
 
     /** Decides nothing any more and ends the process's lease, so that others take over at once; [done] when that is told. */
@@ -215,6 +223,7 @@
         duty("peers") { peers.tick() }
         duty("stalls") { stalls.tick() }
         subsystem?.let { duty("subsystem") { it.tick() } }
+        zones?.let { duty("zones") { it.tick() } }
         if (fleetPlans.mayRun(context.nowNs, reportsWaiting)) duty("fleet") { fleet.run() }
         if (context.nowNs >= nextLoadNs) {
             nextLoadNs = context.nowNs + (LOAD_LINE_S * NANOS_PER_SECOND).toLong()
--- a/src/main/kotlin/flaxfield/node/NodeContext.kt
+++ b/src/main/kotlin/flaxfield/node/NodeContext.kt
@@ -7,6 +7,7 @@
 import flaxfield.jobs.StarvationTracker
 import flaxfield.members.Member
 import flaxfield.members.PartOwnership
+import flaxfield.quota.JobOrder
 import flaxfield.quota.TeamUse
 import flaxfield.settings.OperatorSettings
 import flaxfield.settings.Settings
@@ -19,6 +20,7 @@
 import flaxfield.store.StoreClient
 import flaxfield.store.Txn
 import flaxfield.store.ViewFreshness
+import flaxfield.zones.ZoneRecovery
 import org.slf4j.LoggerFactory
 
 /** Steady and daily time; tests set their own. */
@@ -50,6 +52,9 @@
     /** What runs beside the scheduler's own duties; null without a fleet file. */
     var subsystem: Subsystem? = null
 
+    /** What is known of lost and returning zones; null where they are not watched. */
+    var zones: ZoneRecovery? = null
+
     /** StoreKeys that a transaction of ours is changing: null while it is open, else the revision to wait for. */
     private val busy = HashMap<String, ULong?>()
 
@@ -153,6 +158,13 @@
 
     fun guaranteed(): Set<String> = view.guaranteed(settings.teams)
 
+    /** [jobs] in the order in which they are served now, beside [use]. */
+    fun inOrder(jobs: Collection<Job>, use: TeamUse): List<Job> {
+        val late = JobOrder.lateMs(nowMs)
+        val recovery = zones?.takeIf { it.isRecovering }
+        return recovery?.sort(jobs, use, late) ?: JobOrder.sort(jobs, guaranteed(), use, late, ::aimed)
+    }
+
     private val aimedClasses = settings.objectives.mapTo(HashSet()) { it.jobClass }
 
     /** Whether the operators say what is expected of jobs of this class. */
--- a/src/main/kotlin/flaxfield/operator/OperatorService.kt
+++ b/src/main/kotlin/flaxfield/operator/OperatorService.kt
@@ -2,12 +2,14 @@
 
 import flaxfield.drain.DrainOrder
 import flaxfield.drain.DrainReconciler
+import flaxfield.drain.DrainRecord
 import flaxfield.drain.FleetControl
 import flaxfield.drain.FleetSnapshot
 import flaxfield.drain.OrderFault
 import flaxfield.drain.OrderResult
 import flaxfield.drain.Selector
 import flaxfield.jobs.JobCodec
+import flaxfield.operator.v1.AbandonZoneRequest
 import flaxfield.operator.v1.BudgetList
 import flaxfield.operator.v1.BudgetReply
 import flaxfield.operator.v1.Change
@@ -20,7 +22,10 @@
 import flaxfield.operator.v1.ReadRequest
 import flaxfield.operator.v1.ShowRequest
 import flaxfield.operator.v1.StartDrainRequest
+import flaxfield.operator.v1.ZoneList
+import flaxfield.operator.v1.ZoneReply
 import flaxfield.settings.Settings
+import flaxfield.zones.AbandonOrder
 import io.grpc.Status
 import io.grpc.StatusRuntimeException
 import io.grpc.stub.StreamObserver
@@ -125,6 +130,26 @@
         order(order, out)
     }
 
+    override fun listZones(request: ReadRequest, out: StreamObserver<ZoneList>) = read(request.atLeast, out) { s ->
+        val answers = ZoneAnswers(s, settings.teams)
+        ZoneList.newBuilder().setRevision(s.revision.toLong()).addAllZones(answers.zones()).addAllShares(answers.shares()).build()
+    }
+
+    override fun showZone(request: ShowRequest, out: StreamObserver<ZoneReply>) = read(request.atLeast, out) { zoneReply(it, request.name) }
+
+    private fun zoneReply(s: FleetSnapshot, name: String): ZoneReply {
+        val answers = ZoneAnswers(s, settings.teams)
+        val zone = answers.zone(name) ?: throw notFound("no zone $name")
+        return ZoneReply.newBuilder().setRevision(s.revision.toLong()).setZone(zone).addAllShares(answers.shares()).build()
+    }
+
+    override fun abandonZone(request: AbandonZoneRequest, out: StreamObserver<ZoneReply>) =
+        order<AbandonOrder, ZoneReply>(out, { done -> control.abandon(request.zone, request.jobClass, done) }) { recorded ->
+            val s = control.publisher.current
+            val order = recorded.record
+            zoneReply(s.copy(revision = maxOf(s.revision, recorded.revision), abandons = s.abandons.put(order.name, order)), request.zone)
+        }
+
     private fun answers(s: FleetSnapshot) = Answers(s, DrainReconciler.mostEntries(settings.stateLimits))
 
     private fun needFiles(s: FleetSnapshot) {
@@ -159,28 +184,35 @@
         }
     }
 
-    private fun order(order: DrainOrder, out: StreamObserver<DrainReply>) {
+    private fun order(order: DrainOrder, out: StreamObserver<DrainReply>) =
+        order<DrainRecord, DrainReply>(out, { done -> control.order(order, done) }) { recorded ->
+            val s = control.publisher.current
+            val drain = answers(s.copy(drains = s.drains.put(recorded.record.id, recorded.record))).drain(recorded.record.id)
+            DrainReply.newBuilder().setRevision(recorded.revision.toLong()).setDrain(drain).build()
+        }
+
+    /** Hands an order to the owner thread by [take] and answers once, with what [reply] makes of its record. */
+    private fun <R, T> order(out: StreamObserver<T>, take: ((OrderResult<R>) -> Unit) -> Unit, reply: (OrderResult.Recorded<out R>) -> T) {
         if (stopping) return out.onError(unavailable("this node is stopping"))
         if (!places.tryAcquire()) return out.onError(busy())
         val once = AtomicBoolean()
         post {
-            control.order(order) { result ->
+            take { result ->
                 if (once.compareAndSet(false, true)) {
                     places.release()
-                    answer(result, out)
+                    answer(result, out, reply)
                 }
             }
         }
     }
 
-    private fun answer(result: OrderResult, out: StreamObserver<DrainReply>) {
+    private fun <R, T> answer(result: OrderResult<R>, out: StreamObserver<T>, reply: (OrderResult.Recorded<out R>) -> T) {
         when (result) {
-            is OrderResult.Recorded -> {
-                val s = control.publisher.current
-                val shown = s.copy(drains = s.drains.put(result.drain.id, result.drain))
-                val drain = answers(shown).drain(result.drain.id)
-                out.onNext(DrainReply.newBuilder().setRevision(result.revision.toLong()).setDrain(drain).build())
+            is OrderResult.Recorded -> try {
+                out.onNext(reply(result))
                 out.onCompleted()
+            } catch (e: StatusRuntimeException) {
+                out.onError(e)
             }
             is OrderResult.Refused -> out.onError(OrderStatus.of(result.fault).withDescription(result.message).asRuntimeException())
         }
--- a/src/main/kotlin/flaxfield/quota/Quota.kt
+++ b/src/main/kotlin/flaxfield/quota/Quota.kt
@@ -33,6 +33,9 @@
         return maxOf(u.cpus / maxOf(1.0, t.cpus), u.gpus / maxOf(1.0, t.gpus))
     }
 
+    /** The team's use relative to its guarantee by its dominant resource, see [DominantShare]. */
+    fun dominantShare(team: String): Double = of(team).let { DominantShare.of(it.cpus, it.gpus, teams[team]) }
+
     /** Whether the team uses more than its guarantee. A team without one borrows all that it has. */
     fun borrows(team: String): Boolean {
         val t = teams[team] ?: return true
@@ -50,6 +53,18 @@
     }
 }
 
+/** Pure: how much of its guarantee an amount is, by the resource of which it is the larger part. */
+object DominantShare {
+    /**
+     * The share that [cpus] and [gpus] are of the guarantee of [team]. A resource that is not guaranteed does not count; for a
+     * team without any guarantee one unit of each stands for it.
+     */
+    fun of(cpus: Double, gpus: Double, team: Team?): Double {
+        if (team == null || team.cpus <= 0.0 && team.gpus <= 0.0) return maxOf(cpus, gpus)
+        return maxOf(if (team.cpus > 0.0) cpus / team.cpus else 0.0, if (team.gpus > 0.0) gpus / team.gpus else 0.0)
+    }
+}
+
 /** Pure: in which order jobs that wait are looked at. */
 object JobOrder {
     /** The ids of the jobs that fit into their team's guarantee together with its earlier unfinished ones. */
--- a/src/main/kotlin/flaxfield/settings/Properties.kt
+++ b/src/main/kotlin/flaxfield/settings/Properties.kt
@@ -17,6 +17,8 @@
     val queueCommands: Int = 512,
     /** Finished jobs remembered in memory; older ones are read from the state service. */
     val finishedCache: Int = 5_000,
+    /** Lost zones are noticed and recovered from in the order of need. */
+    val zoneRecovery: Boolean = false,
 ) {
     companion object {
         /** Reads [path]; an unknown key or a bad value is named and refused. */
@@ -41,6 +43,7 @@
                     "fleet.array-spare-factor" -> result.copy(arraySpareFactor = decimal(key, value, 0.0, 100.0))
                     "node.queue-commands" -> result.copy(queueCommands = whole(key, value, 16, 100_000))
                     "jobs.finished-cache" -> result.copy(finishedCache = whole(key, value, 0, 1_000_000))
+                    "zones.recovery" -> result.copy(zoneRecovery = flag(key, value))
                     else -> throw MalformedException("unknown property '$key'")
                 }
             }
@@ -51,6 +54,9 @@
             value.toDoubleOrNull()?.takeIf { it in least..most }
                 ?: throw MalformedException("property '$key': '$value' is not a number from $least to $most")
 
+        private fun flag(key: String, value: String): Boolean =
+            value.toBooleanStrictOrNull() ?: throw MalformedException("property '$key': '$value' is neither true nor false")
+
         private fun whole(key: String, value: String, least: Int, most: Int): Int = value.toIntOrNull()?.takeIf { it in least..most }
             ?: throw MalformedException("property '$key': '$value' is not a whole number from $least to $most")
     }
--- a/src/main/kotlin/flaxfield/store/ClusterView.kt
+++ b/src/main/kotlin/flaxfield/store/ClusterView.kt
@@ -20,6 +20,9 @@
 import flaxfield.quota.JobOrder
 import flaxfield.quota.TeamUse
 import flaxfield.settings.Team
+import flaxfield.zones.ZoneCodec
+import flaxfield.zones.ZoneHearing
+import flaxfield.zones.ZoneRecord
 import org.slf4j.LoggerFactory
 
 /** A task's record on a host, with its job. */
@@ -37,6 +40,9 @@
     val machines = HashMap<String, Machine>()
     val members = HashMap<String, Member>()
     val rentals = HashMap<String, Rental>()
+
+    /** How zones stand; those that never failed have no record. */
+    val zones = HashMap<String, ZoneRecord>()
     private val rooms = HashMap<String, RoomSummary>()
 
     /** Each machine's row in the summary written under the latest term. */
@@ -93,6 +99,7 @@
         machines.clear()
         members.clear()
         rentals.clear()
+        zones.clear()
         rooms.clear()
         hostRooms.clear()
         strayChunks.clear()
@@ -140,6 +147,7 @@
             key.startsWith(StoreKeys.ROOM) -> setRoom(key, value?.let(RoomCodec::decode))
             key.startsWith(StoreKeys.MEMBER) -> set(members, key.removePrefix(StoreKeys.MEMBER), value) { MemberCodec.member(it) }
             key.startsWith(StoreKeys.HIRE) -> set(rentals, key.removePrefix(StoreKeys.HIRE), value) { FleetCodec.hire(it, key, version) }
+            key.startsWith(StoreKeys.ZONE) -> set(zones, key.removePrefix(StoreKeys.ZONE), value) { ZoneCodec.decode(it, key, version) }
             key == StoreKeys.ASSIGNMENT -> assignment = value?.let { MemberCodec.assignment(it, version) }
             key == StoreKeys.LEADER -> leader = value?.let { MemberCodec.member(it) }
             key == StoreKeys.TYPES -> {
@@ -266,6 +274,17 @@
     /** The same from whichever owner wrote of it last. */
     fun lastRoom(host: String): HostRoom? = hostRooms[host]?.room
 
+    /** What each controller tells under the current term of the zones that it hears; one that tells nothing of zones is missing. */
+    fun hearings(): Map<String, Map<String, ZoneHearing>> {
+        val term = assignment?.term ?: return emptyMap()
+        val result = HashMap<String, Map<String, ZoneHearing>>()
+        for (member in assignment?.members.orEmpty()) {
+            val summary = rooms[StoreKeys.room(member.name, 0)]?.takeIf { it.term == term }
+            summary?.hearings?.let { result[member.name] = it }
+        }
+        return result
+    }
+
     /** The claim that holds a machine now. */
     fun claimOn(m: Machine): Claim? = m.claim?.takeIf { c ->
         val gang = jobs[c.job]
--- a/src/main/kotlin/flaxfield/store/StoreKeys.kt
+++ b/src/main/kotlin/flaxfield/store/StoreKeys.kt
@@ -13,6 +13,9 @@
     const val HIRE = "live/hire/"
     const val ROOM = "live/room/"
     const val TEAM = "live/team/"
+
+    /** How zones stand, as the leader has decided. */
+    const val ZONE = "live/zone/"
     const val OVER = "over/"
 
     /** Records of what a fleet file switches on; a controller without one passes over them. */
--- a/src/main/kotlin/flaxfield/workers/Orders.kt
+++ b/src/main/kotlin/flaxfield/workers/Orders.kt
@@ -106,7 +106,7 @@
         when {
             // A newer session: the worker has killed and forgotten all that it had.
             report.session > p.session ->
-                events += TaskEvent.Left(r.job.id, p.index, p.attempt, report.host, "tenure ${report.session}", false)
+                events += TaskEvent.Left(r.job.id, p.index, p.attempt, report.host, "tenure ${report.session}", false, fateUnknown = true)
             report.session < p.session -> Unit
             // Launches of earlier terms can't arrive any more, and ours have been answered: it is not here.
             r.job.cancelled || p.stopping -> if (report.epoch == term) {
--- a/src/main/kotlin/flaxfield/workers/WorkerHealth.kt
+++ b/src/main/kotlin/flaxfield/workers/WorkerHealth.kt
@@ -2,9 +2,13 @@
 
 import flaxfield.NANOS_PER_SECOND
 import flaxfield.arrays.HostState
+import flaxfield.fleet.MachinePhase
 import flaxfield.jobs.Job
 import flaxfield.jobs.TaskEvent
 import flaxfield.node.NodeContext
+import flaxfield.zones.Hearing
+import flaxfield.zones.ZoneHearing
+import flaxfield.zones.ZoneTimes
 import org.slf4j.LoggerFactory
 
 /** What this process has seen of machines, and how those of its part stand: silent, faulty, deaf, or well. */
@@ -25,12 +29,46 @@
     /** When a machine of each zone last reported to us. */
     private val heardNs = HashMap<String, Long>()
 
+    /** When a worker of another's part last reported to us, by zone. */
+    private val passedNs = HashMap<String, Long>()
+
     /** A report under our term has come: a sign of life of the machine, and of its zone. */
     fun alive(book: WorkerState, zone: String) {
         book.reportNs = context.nowNs
         heardNs[zone] = book.reportNs
     }
 
+    /**
+     * A worker of another's part has reported here under our term: a sign of life of its zone, if it is newer than what was
+     * seen of it before. The first one may be a late copy.
+     */
+    fun passed(report: Report, book: WorkerState) {
+        val before = book.passed
+        if (before != null && !report.newerThan(before.session, before.sequenceNumber)) return
+        book.passed = report
+        if (before != null) passedNs[report.zone] = context.nowNs
+    }
+
+    /** What this node hears of each zone: of its own part, and of workers that do not reach their owners. */
+    fun hearings(): Map<String, ZoneHearing> {
+        val window = (context.settings.workers.leaseS * ZoneTimes.SILENT_LEASES * NANOS_PER_SECOND).toLong()
+        val since = context.nowNs - window
+        val settled = ownerSinceNs <= since
+        val counts = HashMap<String, Heard>()
+        for (m in context.mine()) {
+            if (m.phase == MachinePhase.RETIRING || !expected(m.name)) continue
+            val count = counts.getOrPut(m.zone) { Heard() }
+            count.expected++
+            val at = books[m.name]?.reportNs ?: 0L
+            if (at >= ownerSinceNs && at > since) count.heard++
+        }
+        val own = counts.mapValues { (_, c) -> ZoneHearing(c.expected, Hearing.of(c.expected, c.heard, settled)) }
+        val passing = passedNs.filterValues { it > since }.keys.filter { own[it]?.hearing?.isSign != true }
+        return own + passing.associateWith { ZoneHearing(own[it]?.expected ?: 0, Hearing.SOME) }
+    }
+
+    private class Heard(var expected: Int = 0, var heard: Int = 0)
+
     fun isGone(host: String): Boolean = host in gone
 
     /** Notes what a task's end says of its machine. */
@@ -101,13 +139,15 @@
         val lease = context.settings.workers.leaseS * NANOS_PER_SECOND
         val quiet = context.nowNs - sinceNs
         if (quiet < lease * SILENT_SHARE) return false
+        if (context.zones?.isLost(zoneOf(host)) == true) return quiet > lease
         // If nobody of its zone reports, it is rather us who are cut off from there; but the last machines of a part
         // may be lost together, and their tasks must not wait for ever.
-        val zone = context.view.machines[host]?.zone ?: books[host]?.report?.zone.orEmpty()
-        val heard = context.nowNs - (heardNs[zone] ?: 0L) < context.settings.workers.reportS * HEARD_REPORTS * NANOS_PER_SECOND
+        val heard = context.nowNs - (heardNs[zoneOf(host)] ?: 0L) < context.settings.workers.reportS * HEARD_REPORTS * NANOS_PER_SECOND
         return heard || quiet > lease * SILENT_ALONE_SHARE
     }
 
+    private fun zoneOf(host: String): String = context.view.machines[host]?.zone ?: books[host]?.report?.zone.orEmpty()
+
     /** What we know of a machine that we have heard of, or null. */
     fun known(host: String): WorkerState? = books[host]
 
--- a/src/main/kotlin/flaxfield/workers/WorkerState.kt
+++ b/src/main/kotlin/flaxfield/workers/WorkerState.kt
@@ -8,6 +8,9 @@
 class WorkerState(val host: String) {
     var report: Report? = null
 
+    /** Its latest report that came here though another node is its owner. */
+    var passed: Report? = null
+
     /** When a report that is a sign of life last came: one under the term of its time. */
     var reportNs: Long = 0
 
--- a/src/test/kotlin/flaxfield/drain/DrainDay.kt
+++ b/src/test/kotlin/flaxfield/drain/DrainDay.kt
@@ -42,7 +42,7 @@
     val users = plan.jobs.map { SimUser(cluster, cluster.job(it)) }
 
     /** What controllers answered to orders, in order. */
-    val answers = ArrayList<OrderResult>()
+    val answers = ArrayList<OrderResult<DrainRecord>>()
 
     init {
         cluster.state.onCommit = { records.check() }
--- a/src/test/kotlin/flaxfield/operator/FleetFilesTest.kt
+++ b/src/test/kotlin/flaxfield/operator/FleetFilesTest.kt
@@ -25,8 +25,10 @@
     fun `a file is read, with defaults for what it leaves out`() {
         val file = parse(
             """{"version": 1, "listen": "10.0.0.1:9443", "default_budget": {"percent": 10},
-               "budgets": {"red": {"cpus": 16, "accelerators": 4.5}}, "classes": {"deed": "never"}}""",
+               "budgets": {"red": {"cpus": 16, "accelerators": 4.5}}, "classes": {"deed": "never"},
+               "recovery_tiers": {"deed": 0}}""",
         )
+        assertEquals(mapOf("deed" to 0), file.config.recoveryTiers)
         assertEquals("10.0.0.1:9443", file.listen.toString())
         assertEquals(BudgetLimit.Absolute(Capacity(16.0, 4.5)), file.config.budgets["red"])
         assertEquals(BudgetLimit.Percent(10.0), file.config.defaultBudget)
@@ -45,7 +47,8 @@
     fun `every fault is named with its path`() {
         val all = faults(
             """{"version": 2, "listen": "here", "default_budget": {"percent": 101}, "surge_machines": -1, "colour": "red",
-               "budgets": {"green": {"percent": 5}}, "classes": {"night": "any", "deed": "often"}}""",
+               "budgets": {"green": {"percent": 5}}, "classes": {"night": "any", "deed": "often"},
+               "recovery_tiers": {"early": 1, "deed": 10}}""",
         )
         for (path in listOf(
             "$.version",
@@ -56,6 +59,8 @@
             "$.budgets.green",
             "$.classes.night",
             "$.classes.deed",
+            "$.recovery_tiers.early",
+            "$.recovery_tiers.deed",
         )) {
             assertTrue(all.any { path in it }, "$path in $all")
         }
--- a/src/test/kotlin/flaxfield/operator/OperatorEndToEndTest.kt
+++ b/src/test/kotlin/flaxfield/operator/OperatorEndToEndTest.kt
@@ -11,6 +11,7 @@
 import flaxfield.operator.v1.DrainReply
 import flaxfield.operator.v1.JobExplanation
 import flaxfield.operator.v1.MachineList
+import flaxfield.operator.v1.ZoneList
 import flaxfield.training.LoopbackNode
 import flaxfield.training.LoopbackWorld
 import flaxfield.training.WorldScale
@@ -116,6 +117,9 @@
         assertEquals(listOf("blue", "red"), budgets.budgetsList.map { it.team })
         assertEquals(8.0, budgets.budgetsList.first { it.team == "red" }.allowed.cpus)
         assertTrue(result.ms < SECOND_MS, "${result.ms} ms")
+        val zones = nodes.map { json(client("zone", "list", "--output", "json", ask = listOf(it)), ZoneList.newBuilder()) }
+        assertTrue(zones.all { z -> z.zonesList.map { "${it.name} ${it.state}" } == listOf("a healthy", "b healthy") }, "$zones")
+        for (same in zones.groupBy { it.revision }.values) assertEquals(1, same.map { it.build() }.distinct().size)
         val explained = json(client("explain", "job", "job-1", "--output", "json"), JobExplanation.newBuilder())
         assertEquals("running" to "placed", explained.state to explained.reason)
     }
@@ -138,6 +142,9 @@
             Triple(listOf("explain", "job", "job-77"), ExitCode.NOT_FOUND, "no job job-77"),
             Triple(listOf("drain", "list", "--at-least", "99999999"), ExitCode.UNREACHABLE, "is at revision"),
             Triple(listOf("drain", "list", "--output", "xml"), ExitCode.USAGE, "xml"),
+            Triple(listOf("zone", "show", "z"), ExitCode.NOT_FOUND, "no zone z"),
+            Triple(listOf("zone", "abandon", "a"), ExitCode.USAGE, "--class"),
+            Triple(listOf("zone", "abandon", "a", "--class", "class"), ExitCode.CONFLICT, "zone a has not been lost"),
             Triple(listOf("drain", "stop"), ExitCode.USAGE, "stop"),
         )
         for ((words, code, text) in cases) {
--- a/src/test/kotlin/flaxfield/settings/SettingsTest.kt
+++ b/src/test/kotlin/flaxfield/settings/SettingsTest.kt
@@ -60,9 +60,10 @@
 
     @Test
     fun `operators' properties are checked key by key`() {
-        val good = OperatorSettings.of(mapOf("fleet.spare-factor" to "2.5", "node.queue-commands" to "100"))
-        assertEquals(OperatorSettings(spareFactor = 2.5, queueCommands = 100), good)
-        val bad = listOf("fleet.spare" to "1", "fleet.spare-factor" to "-1", "fleet.spare-factor" to "x", "node.queue-commands" to "1.5")
+        val good = OperatorSettings.of(mapOf("fleet.spare-factor" to "2.5", "node.queue-commands" to "100", "zones.recovery" to "true"))
+        assertEquals(OperatorSettings(spareFactor = 2.5, queueCommands = 100, zoneRecovery = true), good)
+        val bad = listOf("fleet.spare" to "1", "fleet.spare-factor" to "-1", "fleet.spare-factor" to "x", "node.queue-commands" to "1.5") +
+            ("zones.recovery" to "yes")
         for ((key, value) in bad) {
             val e = assertThrows<MalformedException>("$key=$value") { OperatorSettings.of(mapOf(key to value)) }
             assertTrue(e.message.orEmpty().contains("'$key'"), e.message)
--- a/src/test/kotlin/flaxfield/sim/Rules.kt
+++ b/src/test/kotlin/flaxfield/sim/Rules.kt
@@ -67,6 +67,7 @@
             (spec.scatter && others.count { it.zone == place.zone } + 1 > (spec.taskCount + 1) / 2)
         if (wrong) broke("wrong_place", "$id/$task starts on $place")
         on[id to task] = place
+        watcher?.starts(spec, task, place)
         val used = used(spec.owner)
         if (used > (limits[spec.owner] ?: Double.MAX_VALUE)) broke("quota", "${spec.owner} uses $used")
         cancelledAt[id]?.let {
@@ -214,6 +215,9 @@
 
 /** Told of what happens to tasks on machines. */
 interface TaskWatcher {
+    /** It has its image and is on its machine from now on. */
+    fun starts(spec: JobSpec, index: Int, place: Rules.Place) = Unit
+
     /** The task does its work from now on. */
     fun runs(spec: JobSpec, index: Int)
 
--- a/src/test/kotlin/flaxfield/sim/SimCluster.kt
+++ b/src/test/kotlin/flaxfield/sim/SimCluster.kt
@@ -2,6 +2,7 @@
 
 import flaxfield.Samples
 import flaxfield.drain.DrainOrder
+import flaxfield.drain.DrainRecord
 import flaxfield.drain.FleetConfig
 import flaxfield.drain.FleetControl
 import flaxfield.drain.OrderResult
@@ -24,7 +25,7 @@
 import flaxfield.store.StoreKeys
 import flaxfield.codec.Wire as Cbor
 
-/** Three controllers against stand-ins, with up to [perZone] machines of each kind in each of two zones. */
+/** Three controllers against stand-ins, with up to [perZone] machines of each kind in each of [machineZones]. */
 class SimCluster(
     seed: Int,
     perZone: Int = 3,
@@ -36,13 +37,16 @@
     ),
     /** What each controller's fleet file says; null where they run without. */
     private val fleet: ((Int) -> FleetConfig?)? = null,
+    /** Where the controllers are. */
+    private val zones: List<String> = listOf("a", "b", "a"),
+    private val machineZones: List<String> = listOf("a", "b"),
+    private val operator: OperatorSettings = OperatorSettings(),
 ) {
     val loop = SimLoop(seed)
     val state = SimState(loop, limits)
     val rules = Rules(teams.filter { it.gpusMax > 0.0 }.associate { it.name to it.gpusMax }, cancelS, LEASE_S)
     val specs = HashMap<String, JobSpec>()
     val names = listOf("n-0", "n-1", "n-2")
-    private val zones = listOf("a", "b", "a")
     private val times = WorkerTimes(1.0, LEASE_S, 10.0, 3.0, cancelS)
     private val runs = IntArray(3)
     private val nodes = arrayOfNulls<Controller>(3)
@@ -149,7 +153,7 @@
         }
     }
     private val gangs = SimGangs()
-    val cloud: SimCloud = SimCloud(loop, mapOf("a" to perZone, "b" to perZone), lagS = 3.0) { place ->
+    val cloud: SimCloud = SimCloud(loop, machineZones.associateWith { perZone }, lagS = 3.0) { place ->
         SimWorker(loop, place, SimCloud.ROOM, rules, specs, gangs, SimTimes(1.0, LEASE_S, 10.0, 3.0), names) { node, body, done ->
             hello(place.zone, node, body, done)
         }
@@ -160,7 +164,7 @@
         names.indices.filter { it != i }.map { Peer(names[it], Address("10.0.0.${it + 1}", 2)) },
         Address("10.2.0.1", 1), Address("10.2.0.2", 1), 3,
         teams.associateBy { it.name },
-        emptyList(), times, limits, 2.0, 3.0, 1000, zones = 2,
+        emptyList(), times, limits, 2.0, 3.0, 1000, zones = machineZones.size,
     )
 
     fun boot(i: Int) {
@@ -190,7 +194,7 @@
         val subsystem = fleet?.invoke(i)?.let { config ->
             SubsystemFactory { parts -> FleetControl(parts, config).also { controls[i] = it } }
         }
-        val c = Controller(settings(i), OperatorSettings(), "run$run", loop, outside, MOST_DIRECT, subsystem, post)
+        val c = Controller(settings(i), operator, "run$run", loop, outside, MOST_DIRECT, subsystem, post)
         self = c
         nodes[i] = c
         c.start()
@@ -210,7 +214,7 @@
     val controls = arrayOfNulls<FleetControl>(3)
 
     /** An operator's order to controller [i]; [done] gets nothing if that process ends meanwhile. */
-    fun order(i: Int, order: DrainOrder, done: (OrderResult) -> Unit) = work(i, Work.USER) {
+    fun order(i: Int, order: DrainOrder, done: (OrderResult<DrainRecord>) -> Unit) = work(i, Work.USER) {
         controls[i]?.order(order, done)
     }
 
--- a/src/test/kotlin/flaxfield/sim/SimMachines.kt
+++ b/src/test/kotlin/flaxfield/sim/SimMachines.kt
@@ -315,10 +315,19 @@
     private val boot: (Rules.Place) -> SimWorker,
 ) {
     val machines = LinkedHashMap<String, SimWorker>()
+    private val machineTypes = listOf(
+        mapOf(
+            "label" to "big", "vcpus" to ROOM.cpus, "accelerators" to ROOM.gpus, "ram_gb" to ROOM.ram, "local_gb" to 100.0,
+            "pull_gb_per_s" to 4.0, "rate" to 8.0, "low_price" to 3.0, "ready_s" to 4.0, "sites" to capacity.keys.sorted(),
+        ),
+    )
     private val answers = HashMap<String, List<String>>()
     private val history = ArrayList<Pair<Double, List<Map<String, Any?>>>>()
     private var next = 0
 
+    /** Told of each return, in the order in which its machines are named, before they are gone. */
+    var onReturn: (List<Rules.Place>) -> Unit = {}
+
     /** What boots take of their usual time, and the share of machines that never come up. */
     var bootFactor = 1.0
     var bootFails = 0.0
@@ -336,10 +345,12 @@
             return answer(reply(429, emptyMap()))
         }
         when {
-            target == "/flavors" -> answer(reply(200, mapOf("flavors" to FLAVORS)))
+            target == "/flavors" -> answer(reply(200, mapOf("flavors" to machineTypes)))
             target == "/machines" && method == "POST" -> answer(rent(Cbor.decode(body)))
             target == "/machines/return" -> {
-                for (h in Cbor.decode(body).texts("hosts").orEmpty()) machines.remove(h)?.die()
+                val hosts = Cbor.decode(body).texts("hosts").orEmpty()
+                onReturn(hosts.mapNotNull { machines[it]?.place })
+                for (h in hosts) machines.remove(h)?.die()
                 answer(reply(200, emptyMap()))
             }
             else -> {
@@ -407,11 +418,5 @@
         private const val BURST_S = 2
         private const val PAGE = 500
         val ROOM = Room(16.0, 4.0, 64.0)
-        private val FLAVORS = listOf(
-            mapOf(
-                "label" to "big", "vcpus" to ROOM.cpus, "accelerators" to ROOM.gpus, "ram_gb" to ROOM.ram, "local_gb" to 100.0,
-                "pull_gb_per_s" to 4.0, "rate" to 8.0, "low_price" to 3.0, "ready_s" to 4.0, "sites" to listOf("a", "b"),
-            ),
-        )
     }
 }
--- a/src/test/kotlin/flaxfield/workers/OrdersTest.kt
+++ b/src/test/kotlin/flaxfield/workers/OrdersTest.kt
@@ -79,7 +79,7 @@
     @Test
     fun `a newer session proves that the task is gone`() {
         val d = decide(job, report(session = 2uL, epoch = 0uL))
-        assertEquals(listOf(TaskEvent.Left("job-1", 0, 1, "h", "tenure 2", false)), d.events)
+        assertEquals(listOf(TaskEvent.Left("job-1", 0, 1, "h", "tenure 2", false, fateUnknown = true)), d.events)
         assertEquals(emptyList<Order>(), d.orders)
     }
 
--- /dev/null
+++ b/src/test/kotlin/flaxfield/zones/HealthyZonesTest.kt
@@ -0,0 +1,115 @@
+package flaxfield.zones
+
+import flaxfield.Samples
+import flaxfield.codec.Wire
+import flaxfield.fleet.FleetCodec
+import flaxfield.fleet.FleetDemand
+import flaxfield.fleet.ReturnOrder
+import flaxfield.jobs.Job
+import flaxfield.jobs.JobCodec
+import flaxfield.jobs.Priority
+import flaxfield.jobs.Shape
+import flaxfield.jobs.TaskEvent
+import flaxfield.members.Member
+import flaxfield.net.Calls
+import flaxfield.node.Clock
+import flaxfield.node.NodeContext
+import flaxfield.settings.OperatorSettings
+import flaxfield.store.ClusterView
+import flaxfield.store.Item
+import flaxfield.store.StoreClient
+import flaxfield.store.StoreKeys
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNotEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import kotlin.random.Random
+
+/** With all zones healthy, whoever watches them decides as one that does not. */
+class HealthyZonesTest {
+    private val clock = object : Clock {
+        override fun steadyNs() = 1L
+
+        override fun dayMs() = NOW_MS
+    }
+
+    private fun jobs(random: Random): List<Job> = (1..40).map { n ->
+        val spec = Samples.spec(
+            "job-$n",
+            if (random.nextInt(4) == 0) Shape.GANG else Shape.ARRAY,
+            taskCount = random.nextInt(1, 6),
+            priority = Priority.entries.random(random),
+            owner = listOf("red", "blue").random(random),
+            jobClass = listOf("deed", "night").random(random),
+        )
+        val job = Samples.job(spec, atMs = NOW_MS - random.nextLong(0, 200_000))
+        if (random.nextBoolean()) job.place(mapOf(0 to Job.Host("host-${random.nextInt(12)}", 1uL))) else job
+    }
+
+    private fun context(seed: Int, records: List<ZoneRecord>?): NodeContext {
+        val settings = Samples.settings().copy(
+            teams = listOf(Samples.team("red", gpus = 6.0), Samples.team("blue")).associateBy {
+                it.name
+            },
+        )
+        val view = ClusterView()
+        fun put(key: String, value: Map<String, Any?>) = view.apply(Item(key, Wire.decode(Wire.encode(value)), 1uL))
+        for (n in 0 until 12) put(StoreKeys.HOST + "host-$n", FleetCodec.encode(Samples.machine("host-$n", zone = "ab"[n % 2].toString())))
+        for (job in jobs(Random(seed))) put(StoreKeys.JOB + job.id, JobCodec.encodeHead(job))
+        for (r in records.orEmpty()) put(StoreKeys.ZONE + r.zone, ZoneCodec.encode(r))
+        val silence = Calls { _, _, _, _, _ -> }
+        val context =
+            NodeContext(settings, OperatorSettings(), Member("n-0", "r", "a"), clock, StoreClient(silence, silence, 1), view) { it() }
+        if (records != null) context.zones = ZoneRecovery(context)
+        return context
+    }
+
+    private fun plan(context: NodeContext): List<Any?> {
+        val view = context.view
+        val machines = view.machines.values.sortedBy { it.name }
+        val orders = view.jobs.values.filter { it.pendingCount > 0 }
+        return listOf(
+            context.inOrder(orders, context.use()).map { it.id },
+            FleetDemand(context).demands().map { it.spec.id to it.pressing },
+            ReturnOrder.sort(context, machines).map { it.name },
+            machines.map { context.zones?.admits(it) ?: true },
+            machines.map { context.zones?.mayReturn(it) ?: true },
+            machines.map { context.zones?.givesUp(it) ?: true },
+            listOf("a", "b").map { context.zones?.mayRent(it) ?: Int.MAX_VALUE },
+        )
+    }
+
+    @Test
+    fun `plans are equal without records, and with zones that are healthy again`() {
+        val healthy = ZoneRecord.healthy("a", 0).copy(incarnation = 3, lostMs = 1_000, endedMs = 2_000, machines = 6)
+        for (seed in 1..50) {
+            val expected = plan(context(seed, null))
+            assertEquals(expected, plan(context(seed, emptyList())), "seed $seed")
+            assertEquals(expected, plan(context(seed, listOf(healthy))), "seed $seed")
+        }
+        // Not an equality of nothing: a lost zone changes them.
+        val lost = healthy.copy(state = ZoneState.LOST)
+        assertNotEquals(plan(context(1, null)), plan(context(1, listOf(lost))))
+    }
+
+    @Test
+    fun `a lost zone gets nothing, and gives up its most urgent machines first`() {
+        val lost = ZoneRecord.healthy("a", NOW_MS).copy(state = ZoneState.LOST, incarnation = 1, machines = 6)
+        val context = context(1, listOf(lost))
+        val inside = context.view.machines.values.filter { it.zone == "a" }
+        assertTrue(inside.none { context.zones?.admits(it) ?: true })
+        assertEquals(0, context.zones?.mayRent("a"))
+        val tier = { name: String -> context.view.jobsOn(name).minOfOrNull { PriorityTiers.tier(it.spec) } ?: Int.MAX_VALUE }
+        val now = inside.filter { context.zones?.givesUp(it) ?: false }
+        assertTrue(now.isNotEmpty() && now.size < inside.size && now.maxOf { tier(it.name) } < inside.maxOf { tier(it.name) }, "$now")
+        val order = ReturnOrder.sort(context, inside).map { tier(it.name) }
+        assertEquals(order.sorted(), order)
+        val event = TaskEvent.Left("job-1", 0, 1, "host-0", "machine returned", failed = false, fateUnknown = true)
+        // Without a fleet file no class forbids a repeat.
+        assertEquals(false, context.zones?.holdsBack(event))
+    }
+
+    private companion object {
+        const val NOW_MS = 1_000_000L
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/flaxfield/zones/ZoneDay.kt
@@ -0,0 +1,168 @@
+package flaxfield.zones
+
+import flaxfield.Samples
+import flaxfield.drain.BudgetLimit
+import flaxfield.drain.DrainOrder
+import flaxfield.drain.FleetConfig
+import flaxfield.drain.RepeatPolicy
+import flaxfield.jobs.JobSpec
+import flaxfield.jobs.Priority
+import flaxfield.jobs.Room
+import flaxfield.operator.ZoneAnswers
+import flaxfield.operator.v1.Zone
+import flaxfield.settings.OperatorSettings
+import flaxfield.settings.StateLimits
+import flaxfield.sim.Rules
+import flaxfield.sim.SimCluster
+import flaxfield.sim.SimLoop
+import flaxfield.sim.SimUser
+import flaxfield.store.StoreKeys
+
+/** How a day of a zone's loss is. */
+data class ZonePlan(
+    val seed: Int,
+    /** Where the three controllers are. */
+    val controllers: List<String> = listOf("a", "b", "c"),
+    /** Machines of each kind that may be rented in each of three zones. */
+    val perZone: Int = ZoneDay.ROOMY,
+    val jobs: List<JobSpec> = ZoneDay.jobs(),
+    val config: FleetConfig? = ZoneDay.CONFIG,
+    val operator: OperatorSettings = OperatorSettings(),
+)
+
+/** Three controllers, stand-in workers in three zones, four teams, three tiers and a class that forbids repeats. */
+class ZoneDay(private val plan: ZonePlan) {
+    val cluster = SimCluster(
+        plan.seed,
+        plan.perZone,
+        StateLimits(150.0, 60.0, 8.0, 24),
+        teams = TEAMS.map { Samples.team(it, gpus = 12.0) },
+        fleet = { plan.config },
+        zones = plan.controllers,
+        machineZones = listOf("a", "b", "c"),
+        operator = plan.operator,
+    )
+    private val loop = cluster.loop
+    val users = plan.jobs.map { SimUser(cluster, cluster.job(it)) }
+
+    /** The states that the record came into, with their times. */
+    val states = ArrayList<Pair<Double, String>>()
+
+    val checker = ZoneChecker(cluster, LOST_ZONE, states)
+
+    /** Told of each state that the lost zone's record comes into. */
+    var onState: (String) -> Unit = {}
+
+    init {
+        cluster.rules.watcher = checker
+        cluster.cloud.onReturn = checker::returned
+        cluster.state.onCommit = { noteState() }
+        for (i in cluster.names.indices) loop.after(i * 150 * SimLoop.MS) { cluster.boot(i) }
+        for ((n, u) in users.withIndex()) loop.after((2_000 + 100L * n) * SimLoop.MS, u::submit)
+    }
+
+    private fun noteState() {
+        val now = cluster.state.text(StoreKeys.ZONE + LOST_ZONE, "state") ?: return
+        if (states.lastOrNull()?.second == now) return
+        states += loop.nowS to now
+        onState(now)
+    }
+
+    fun at(seconds: Double, block: () -> Unit) = loop.after((seconds * SimLoop.SECOND).toLong(), block)
+
+    /** Cuts the zone off at [fromS] for [forS]. */
+    fun cut(fromS: Double, forS: Double) {
+        at(fromS) {
+            checker.lost()
+            cluster.zoneCut = LOST_ZONE
+        }
+        at(fromS + forS) {
+            cluster.zoneCut = null
+            checker.healed()
+        }
+    }
+
+    /** Every machine of the zone dies at [atS], and none can be rented there any more. */
+    fun gone(atS: Double) = at(atS) {
+        checker.lost()
+        cluster.zoneCut = LOST_ZONE
+        for (w in cluster.cloud.machines.values) if (w.place.zone == LOST_ZONE) w.die()
+    }
+
+    /** Orders to give up on [jobClass] at one controller after another, until one records it. */
+    fun abandon(jobClass: String, node: Int = 0) {
+        var answered = false
+        cluster.controls[node % cluster.names.size]?.abandon(LOST_ZONE, jobClass) { result ->
+            answered = result is flaxfield.drain.OrderResult.Recorded
+        }
+        at(2.0) { if (!answered) abandon(jobClass, node + 1) }
+    }
+
+    /** What operators are told of the zone, by the controller that has seen most. */
+    fun answer(): Zone {
+        val snapshot = cluster.controls.filterNotNull().map { it.publisher.current }.maxBy { it.revision }
+        return ZoneAnswers(snapshot, TEAMS.associateWith { Samples.team(it, gpus = 12.0) }).zones().first { it.name == LOST_ZONE }
+    }
+
+    fun drain(order: DrainOrder, node: Int = 0) {
+        var answered = false
+        cluster.order(node % cluster.names.size, order) { answered = it is flaxfield.drain.OrderResult.Recorded }
+        at(2.0) { if (!answered) drain(order, node + 1) }
+    }
+
+    fun run(untilS: Double, quietFromS: Double = QUIET_FROM_S) {
+        cluster.watch(quietFromS)
+        loop.runUntil(untilS)
+    }
+
+    /** Rules of the protocol that broke, and what the checker has found. */
+    fun broken(): List<String> = cluster.rules.broken.take(5) + cluster.state.broken.take(5) + checker.broken()
+
+    fun unfinished(): List<String> = plan.jobs.map { it.id }.filter { cluster.rules.told(it) !in Rules.FINAL }
+
+    companion object {
+        const val LOST_ZONE = "c"
+
+        /** Cheap machines of each zone, so that two zones hold all the work, */
+        const val ROOMY = 14
+
+        /** and so that they do not. */
+        const val SCARCE = 8
+        const val QUIET_FROM_S = 200.0
+        val TEAMS = listOf("red", "blue", "green", "grey")
+
+        /** Tiers by class as the fleet file names them; `train` has the tier of its priority, 2. */
+        val CONFIG = FleetConfig(
+            incarnation = "",
+            budgets = emptyMap(),
+            defaultBudget = BudgetLimit.Percent(100.0),
+            classes = mapOf("deed" to RepeatPolicy.NEVER),
+            defaultRepeat = RepeatPolicy.ANY,
+            surgeMachines = 0,
+            maxCordoned = 1_000,
+            recoveryTiers = mapOf("call" to 0, "deed" to 0, "night" to 5),
+        )
+
+        /** The tier of a class, as the checker knows it. */
+        fun tier(jobClass: String): Int = when (jobClass) {
+            "call", "deed" -> 0
+            "train" -> 2
+            else -> 5
+        }
+
+        /** Some 90 tasks of equal size that fill some 24 machines in three zones for minutes. */
+        fun jobs(deeds: Boolean = false, deedS: Double = 160.0): List<JobSpec> = (1..30).map { n ->
+            val jobClass = if (deeds && n % 10 == 0) "deed" else listOf("call", "train", "night")[n % 3]
+            val priority = if (tier(jobClass) == 5) Priority.IDLE else Priority.STANDARD
+            Samples.spec(
+                id = "job-$n",
+                jobClass = jobClass,
+                taskCount = 3,
+                priority = priority,
+                owner = TEAMS[n % 4],
+                need = Room(4.0, 1.0, 16.0),
+                saveEveryS = 0.0,
+            ).copy(expectS = if (jobClass == "deed") deedS else 150.0 + 4 * (n % 8), saveS = 0.0, imageGb = 1.0)
+        }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/flaxfield/zones/ZoneHealthTest.kt
@@ -0,0 +1,139 @@
+package flaxfield.zones
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** From evidence to health; a lease of 10 s, so that a step is 5 s and a loss is confirmed 6 s after suspicion. */
+class ZoneHealthTest {
+    private val health = ZoneHealth(ZoneTimes(10.0))
+    private val quiet = Hearing.NONE
+    private val fine = Hearing.MOST
+
+    private fun told(vararg members: Pair<String, Map<String, ZoneHearing>>) = mapOf(*members)
+
+    private fun hears(expected: Int, hearing: Hearing) = ZoneHearing(expected, hearing)
+
+    /** Plays [evidence] second by second, as the leader would, and tells each change as `second state step`. */
+    private fun play(seconds: Int, from: Map<String, ZoneRecord> = emptyMap(), evidence: (Int) -> Map<String, ZoneEvidence>): List<String> {
+        val records = HashMap(from)
+        val changes = ArrayList<String>()
+        for (s in 0..seconds) {
+            for (next in health.next(records, evidence(s), mapOf("a" to 16, "b" to 16), s * 1000L)) {
+                records[next.zone] = next
+                changes += "$s ${next.zone} ${next.state.name.lowercase()} ${next.step}"
+            }
+        }
+        return changes
+    }
+
+    private fun zone(name: String, silent: Boolean, expected: Int = 16) =
+        name to ZoneEvidence(name, expected, silent && expected > 0, heard = !silent && expected > 0)
+
+    @Test
+    fun `a lost zone returns in doubling steps, and a short cut starts no ramp`() {
+        val whole = play(60) { s -> mapOf(zone("a", s in 3..20), zone("b", false)) }
+        assertEquals(
+            listOf("3 a suspect 1", "9 a lost 1", "21 a returning 1", "26 a returning 2", "31 a returning 3", "36 a healthy 1"),
+            whole,
+        )
+        assertEquals(listOf("3 a suspect 1", "8 a healthy 1"), play(60) { s -> mapOf(zone("a", s in 3..7), zone("b", false)) })
+    }
+
+    @Test
+    fun `a further loss halves the share and makes the steps longer, up to a bound`() {
+        val changes = play(90) { s -> mapOf(zone("a", s in 0..10 || s in 24..30 || s in 45..50), zone("b", false)) }
+        assertEquals(
+            listOf(
+                "0 a suspect 1", "6 a lost 1", "11 a returning 1", "16 a returning 2", "21 a returning 3",
+                "24 a lost 2", "31 a returning 2", "38 a returning 3",
+                "45 a lost 2", "51 a returning 2", "59 a returning 3", "67 a healthy 1",
+            ),
+            changes,
+        )
+        assertEquals(listOf(5_000L, 6_250L, 7_500L, 7_500L), (0..3).map { ZoneTimes(10.0).stepMs(it) })
+    }
+
+    @Test
+    fun `a zone gone for good is tried anew with few machines, and one that is heard ends the trial`() {
+        val changes = play(90) { s -> mapOf(zone("a", s < 30, if (s in 30..79) 0 else 16), zone("b", false)) }
+        assertEquals("66 a returning 0", changes[2])
+        assertEquals("80 a returning 1", changes[3])
+        val trial = ZoneRecord.healthy("a", 0).copy(state = ZoneState.RETURNING, step = ReturnRamp.TRIAL, machines = 400)
+        assertEquals(ReturnRamp.TRIAL_MACHINES, ReturnRamp.limit(trial))
+        assertTrue(trial.isRecovering(nowMs = 50_000, patienceMs = 100_000))
+        assertFalse(trial.isRecovering(nowMs = 150_000, patienceMs = 100_000))
+    }
+
+    @Test
+    fun `the ramp opens an eighth, a quarter, half, all`() {
+        val returning = ZoneRecord.healthy("a", 0).copy(state = ZoneState.RETURNING, machines = 400)
+        assertEquals(listOf(50, 100, 200, 400), (1..4).map { ReturnRamp.limit(returning.copy(step = it)) })
+        assertNull(ReturnRamp.limit(ZoneRecord.healthy("a", 0)))
+        assertEquals(0, ReturnRamp.limit(returning.copy(state = ZoneState.LOST)))
+    }
+
+    @Test
+    fun `what is no lost zone`() {
+        val three = listOf("n-0", "n-1", "n-2")
+        val cases = mapOf(
+            "one controller is cut off from it, others hear its workers" to told(
+                "n-0" to mapOf("a" to hears(9, quiet), "b" to hears(9, fine)),
+                "n-1" to mapOf("a" to hears(0, Hearing.SOME), "b" to hears(9, fine)),
+                "n-2" to mapOf("b" to hears(9, fine)),
+            ),
+            "its own controller still hears it" to told(
+                "n-0" to mapOf("a" to hears(5, quiet), "b" to hears(9, fine)),
+                "n-1" to mapOf("a" to hears(5, fine), "b" to hears(9, fine)),
+                "n-2" to mapOf("b" to hears(9, fine)),
+            ),
+            "its owner has just taken it over" to told(
+                "n-0" to mapOf("a" to hears(9, Hearing.UNKNOWN), "b" to hears(9, fine)),
+                "n-1" to mapOf("b" to hears(9, fine)),
+                "n-2" to mapOf("b" to hears(9, fine)),
+            ),
+            "two machines of it" to told(
+                "n-0" to mapOf("a" to hears(2, quiet), "b" to hears(9, fine)),
+                "n-1" to mapOf("b" to hears(9, fine)),
+                "n-2" to emptyMap(),
+            ),
+            "all zones at once: our own eyes" to told(
+                "n-0" to mapOf("a" to hears(9, quiet), "b" to hears(9, quiet)),
+                "n-1" to mapOf("b" to hears(9, quiet)),
+                "n-2" to emptyMap(),
+            ),
+            "a member that has told nothing yet" to told("n-0" to mapOf("a" to hears(9, quiet), "b" to hears(9, fine))),
+        )
+        for ((what, told) in cases) {
+            val evidence = ZoneEvidence.of(three, told).orEmpty()
+            assertEquals(emptyList<String>(), play(60) { evidence }, what)
+        }
+        val lost = told(
+            "n-0" to mapOf("a" to hears(9, quiet), "b" to hears(9, fine)),
+            "n-1" to mapOf("b" to hears(9, fine)),
+            "n-2" to emptyMap(),
+        )
+        assertEquals("6 a lost 1", play(60) { ZoneEvidence.of(three, lost).orEmpty() }[1])
+    }
+
+    @Test
+    fun `what hearing amounts to`() {
+        val cases = listOf(
+            Triple(10, 6, true) to Hearing.MOST,
+            Triple(10, 2, true) to Hearing.SOME,
+            Triple(10, 1, true) to Hearing.NONE,
+            Triple(10, 0, false) to Hearing.UNKNOWN,
+            Triple(0, 0, true) to Hearing.NONE,
+        )
+        for ((c, wanted) in cases) assertEquals(wanted, Hearing.of(c.first, c.second, c.third), "$c")
+    }
+
+    @Test
+    fun `records are stored whole`() {
+        val record = ZoneRecord("a", ZoneState.RETURNING, 3, 1_700_000_000_000, 120, 2, 1, 1_699_999_990_000, 1_699_999_999_000, 9uL)
+        val stored = flaxfield.codec.Wire.decode(flaxfield.codec.Wire.encode(ZoneCodec.encode(record)))
+        assertEquals(record, ZoneCodec.decode(stored, "live/zone/a", 9uL))
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/flaxfield/zones/ZoneSimulationTest.kt
@@ -0,0 +1,231 @@
+package flaxfield.zones
+
+import flaxfield.drain.DrainOrder
+import flaxfield.drain.Selector
+import flaxfield.sim.Rules
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+
+/** Zones that fall away and come back while controllers fail; judged by a checker that shares no code with the planner. */
+class ZoneSimulationTest {
+    private fun assertRecovered(day: ZoneDay, vararg unfinished: String) {
+        assertEquals(emptyList<String>(), day.broken().take(8), "${day.states}")
+        assertEquals(unfinished.toList(), day.unfinished(), "${day.states}")
+        // A day on which nothing was displaced shows nothing.
+        assertTrue(day.checker.displaced.size >= 3, "${day.checker.displaced}")
+    }
+
+    private fun states(day: ZoneDay) = day.states.map { it.second }
+
+    @ParameterizedTest
+    @CsvSource("1, a b c, 8", "2, a b a, 8", "3, a b c, 14", "4, a c c, 14")
+    fun `urgent work of a lost zone runs elsewhere first, and the zone returns by steps`(seed: Int, controllers: String, perZone: Int) {
+        val day = ZoneDay(ZonePlan(seed, controllers.split(' '), perZone))
+        day.cut(60.0, 45.0)
+        day.run(END_S)
+        assertRecovered(day)
+        // Where two zones hold all the work, nothing is rented there again, and the zone stays on trial.
+        val end = if (perZone == ZoneDay.SCARCE) listOf("healthy") else emptyList()
+        assertEquals(listOf("suspect", "lost", "returning") + end, states(day))
+        val recovered = day.checker.recoveredS()
+        assertTrue(recovered.getValue(0) <= recovered.getValue(5), "$recovered")
+    }
+
+    @ParameterizedTest
+    @CsvSource("11, a b c", "12, a b a")
+    fun `a cut shorter than a lease moves nothing and starts no ramp`(seed: Int, controllers: String) {
+        val day = ZoneDay(ZonePlan(seed, controllers.split(' ')))
+        day.cut(60.0, 4.0)
+        day.run(END_S)
+        assertRecovered(day)
+        assertTrue(states(day).none { it == "lost" || it == "returning" }, "${day.states}")
+        assertEquals(0, day.cluster.rules.leasesLost)
+    }
+
+    @ParameterizedTest
+    @CsvSource("21, 9.0, 8.0", "22, 12.0, 6.0", "23, 20.0, 15.0", "24, 15.0, 3.0")
+    fun `a zone that flaps twice within a minute causes no second wave`(seed: Int, cutS: Double, pauseS: Double) {
+        val day = ZoneDay(ZonePlan(seed))
+        day.cut(60.0, cutS)
+        day.cut(60.0 + cutS + pauseS, cutS)
+        day.run(END_S)
+        assertRecovered(day)
+    }
+
+    @ParameterizedTest
+    @CsvSource("31, lost, 3", "32, lost, 0.3", "33, suspect, 3", "34, returning, 3", "35, returning, 0.3", "36, healthy, 3")
+    fun `a leader that ends at the loss, in the recovery or in the return leaves it to the next one`(
+        seed: Int,
+        state: String,
+        downS: Double,
+    ) {
+        val day = ZoneDay(ZonePlan(seed, perZone = ZoneDay.SCARCE))
+        day.cut(60.0, 40.0)
+        // The next leader ends as well, two seconds after it has begun.
+        day.onState = { now ->
+            if (now == state) {
+                day.cluster.kill(day.cluster.leader, downS)
+                day.at(4.0) { day.cluster.kill(day.cluster.leader, downS) }
+            }
+        }
+        day.run(END_S)
+        assertRecovered(day)
+        assertTrue("lost" in states(day) && states(day).last() == "healthy", "${day.states}")
+    }
+
+    @ParameterizedTest
+    @CsvSource("41, 61", "42, 66", "43, 72", "44, 80", "45, 101")
+    fun `all controllers restart during a loss`(seed: Int, atS: Double) {
+        val day = ZoneDay(ZonePlan(seed))
+        day.cut(60.0, 40.0)
+        day.at(atS) { for (i in 0..2) day.cluster.kill(i, 1.5) }
+        day.run(END_S)
+        assertEquals(emptyList<String>(), day.broken().take(8), "${day.states}")
+        assertEquals(emptyList<String>(), day.unfinished())
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+        "51, outage",
+        "52, longoutage",
+        "53, leader refused",
+        "54, late writes",
+        "55, lost answers",
+        "56, late reports",
+        "57, slow",
+    )
+    fun `troubles of the state service and late reports during a loss`(seed: Int, trouble: String) {
+        val day = ZoneDay(ZonePlan(seed))
+        day.cut(60.0, 40.0)
+        trouble(day, trouble)
+        day.run(END_S)
+        assertEquals(emptyList<String>(), day.broken().take(8), "${day.states}")
+        assertEquals(emptyList<String>(), day.unfinished())
+    }
+
+    private fun trouble(day: ZoneDay, name: String) {
+        val c = day.cluster
+        fun during(fromS: Double, forS: Double, set: (Boolean) -> Unit) {
+            day.at(fromS) { set(true) }
+            day.at(fromS + forS) { set(false) }
+        }
+        when (name) {
+            "outage" -> during(61.0, 4.0) { c.state.outage = it }
+            "longoutage" -> during(64.0, 20.0) { c.state.outage = it }
+            "leader refused" -> day.at(70.0) {
+                val leader = c.leader
+                c.state.refuse(leader, true)
+                day.at(6.0) { c.state.refuse(leader, false) }
+            }
+            "late writes" -> for (w in c.stateWire) during(58.0, 60.0) { w.lateTxn = if (it) 0.15 else 0.0 }
+            "lost answers" -> for (w in c.stateWire) during(58.0, 60.0) { w.silentTxn = if (it) 0.25 else 0.0 }
+            "late reports" -> during(50.0, 70.0) {
+                c.copies = if (it) 0.1 else 0.0
+                c.copiesForNext = if (it) 0.3 else 0.0
+            }
+            "slow" -> for (w in c.stateWire) during(58.0, 60.0) { w.slowMs = if (it) 200L else 0L }
+        }
+    }
+
+    @Test
+    fun `a zone that is gone for good is given up, and tried with few machines`() {
+        val day = ZoneDay(ZonePlan(61))
+        day.gone(60.0)
+        day.run(END_S)
+        assertRecovered(day)
+        assertEquals(listOf("suspect", "lost", "returning"), states(day))
+        assertTrue(day.cluster.cloud.machines.values.count { it.place.zone == ZoneDay.LOST_ZONE } <= ReturnRamp.TRIAL_MACHINES)
+    }
+
+    @Test
+    fun `what most zones seem to lose at once is not believed`() {
+        val day = ZoneDay(ZonePlan(62))
+        // No worker reaches any controller; commands still reach them.
+        day.at(60.0) { for (w in day.cluster.cloud.machines.values) w.mute = true }
+        day.at(75.0) { for (w in day.cluster.cloud.machines.values) w.mute = false }
+        day.run(END_S)
+        assertEquals(emptyList<String>(), day.cluster.rules.broken.take(5))
+        assertTrue(states(day).none { it == "lost" }, "${day.states}")
+        assertEquals(emptyList<String>(), day.unfinished())
+    }
+
+    @Test
+    fun `one controller that its workers do not reach is no lost zone`() {
+        val day = ZoneDay(ZonePlan(63))
+        day.at(60.0) { day.cluster.workersCut[2] = true }
+        day.at(85.0) { day.cluster.workersCut[2] = false }
+        day.run(END_S)
+        assertEquals(emptyList<String>(), day.broken().take(5))
+        assertTrue(states(day).none { it == "lost" }, "${day.states}")
+    }
+
+    @ParameterizedTest
+    @CsvSource("71, 40.0, 160.0, true", "72, 40.0, 52.0, true", "73, 14.0, 160.0, false")
+    fun `a class that forbids repeats waits for word from the zone, also when its tasks ended inside it`(
+        seed: Int,
+        cutS: Double,
+        deedS: Double,
+        isHeld: Boolean,
+    ) {
+        val day = ZoneDay(ZonePlan(seed, jobs = ZoneDay.jobs(deeds = true, deedS)))
+        day.cut(60.0, cutS)
+        day.run(END_S)
+        val held = day.unfinished()
+        // They wait by their class's own rule; nothing else may.
+        assertEquals(emptyList<String>(), day.broken().filterNot { b -> held.any { "waits: $it " in b } }.take(8), "${day.states}")
+        assertTrue(held.all { day.cluster.specs.getValue(it).jobClass == "deed" && day.cluster.rules.told(it) != null }, "$held")
+        // In a short cut the controller inside keeps the leases, and they run to their end.
+        assertEquals(isHeld, held.isNotEmpty(), "$held")
+        assertTrue("lost" in states(day) && "deed" in day.checker.displaced, "${day.states}")
+    }
+
+    @ParameterizedTest
+    @CsvSource("81, 40.0", "82, 400.0")
+    fun `an operator's order gives up on what the zone held, whichever leader carries it out`(seed: Int, cutS: Double) {
+        val day = ZoneDay(ZonePlan(seed, jobs = ZoneDay.jobs(deeds = true)))
+        day.cut(60.0, cutS)
+        var held = emptyList<String>()
+        day.at(130.0) {
+            held = day.answer().heldList.filter { it.tasks > 0 }.map { it.jobClass }
+            day.checker.abandoned("deed")
+            day.abandon("deed")
+        }
+        day.at(130.5) { day.cluster.kill(day.cluster.leader, 3.0) }
+        day.run(END_S)
+        assertEquals(emptyList<String>(), day.broken().take(8), "${day.states}")
+        assertEquals(emptyList<String>(), day.unfinished())
+        assertEquals(listOf("deed"), held)
+        assertEquals(emptyList<Any>() to listOf("deed"), day.answer().let { it.heldList to it.abandonedList })
+    }
+
+    @Test
+    fun `a drain in progress, its budget spent, goes on after the loss`() {
+        val budgets = ZoneDay.CONFIG.copy(defaultBudget = flaxfield.drain.BudgetLimit.Percent(15.0))
+        val day = ZoneDay(ZonePlan(91, config = budgets))
+        day.at(50.0) { day.drain(DrainOrder.Start("d-1", Selector(emptySet(), null, "a", null, 50.0))) }
+        day.cut(56.0, 40.0)
+        day.run(LONG_END_S)
+        assertEquals(emptyList<String>(), day.cluster.rules.broken.take(5))
+        assertEquals(emptyList<String>(), day.unfinished())
+        assertEquals("done", day.cluster.state.text(flaxfield.drain.FleetKeys.DRAIN + "d-1", "phase"))
+        assertTrue("lost" in states(day))
+    }
+
+    @Test
+    fun `every job has one final answer, also from before the loss`() {
+        val day = ZoneDay(ZonePlan(92))
+        day.cut(60.0, 40.0)
+        day.at(150.0) { for (u in day.users) for (i in 0..2) u.resubmit(i) }
+        day.run(END_S)
+        assertRecovered(day)
+        assertTrue(day.users.all { day.cluster.rules.told(it.spec.id) in Rules.FINAL })
+    }
+
+    private companion object {
+        const val END_S = 420.0
+        const val LONG_END_S = 600.0
+    }
+}
