--- a/src/main/kotlin/flaxfield/drain/FleetControl.kt
+++ b/src/main/kotlin/flaxfield/drain/FleetControl.kt
@@ -24,15 +24,14 @@
     private val abandons = AbandonOrders(context)
     private val drains = DrainReconciler(context)
     private val restores = RestoreReconciler(context, parts.health)
+    private val gapNs = (context.settings.workers.reportS * GAP_REPORTS * NANOS_PER_SECOND).toLong()
+    private var nextNs = 0L
+    private var marks = 0L
 
     init {
         context.zones?.rules = FleetZoneRules { publisher.current }
     }
 
-    private val gapNs = (context.settings.workers.reportS * GAP_REPORTS * NANOS_PER_SECOND).toLong()
-    private var nextNs = 0L
-    private var marks = 0L
-
     /**
      * Takes an operator's order; [done] is called on the owner thread. Not before the view is complete: on the empty one of a
      * process that has just started, every machine, zone and drain was called unknown.
--- a/src/main/kotlin/flaxfield/fleet/FleetReconciler.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetReconciler.kt
@@ -17,22 +17,15 @@
 class FleetReconciler(private val context: NodeContext, private val cloud: CloudClient, completion: TaskCompletion) {
     private val rate = CloudRate(context.settings.cloudRps)
     private val demand = FleetDemand(context)
+    private val rentals = RentalRequester(context, cloud, rate)
     private val returns = MachineReturner(context, cloud, rate, completion)
 
-    private class Refusal(val untilNs: Long, val times: Int)
-
     private var leading = false
     private var termSeen: ULong? = null
     private var termSinceNs = 0L
     private var flavorsOpen = false
     private var nextFlavorsNs = 0L
     private var nextPlanNs = 0L
-    private var hireCount = 0
-    private val asking = HashMap<String, Long>()
-
-    /** Hires that have a clear answer, until it is written down. */
-    private val granted = HashMap<String, List<String>>()
-    private val refused = HashMap<Offer, Refusal>()
     private val idleSinceNs = HashMap<String, Long>()
 
     fun run() {
@@ -53,7 +46,7 @@
             }
         }
         askFlavors()
-        askHires()
+        rentals.ask()
         returns.run()
         if (context.nowNs >= nextPlanNs && context.view.machineTypes.isNotEmpty() && viewIsFresh()) {
             nextPlanNs = context.nowNs + (context.settings.workers.reportS * PLAN_REPORTS * NANOS_PER_SECOND).toLong()
@@ -74,8 +67,7 @@
         leading = false
         returns.forget()
         idleSinceNs.clear()
-        asking.clear()
-        granted.clear()
+        rentals.forget()
         nextFlavorsNs = 0
     }
 
@@ -99,89 +91,41 @@
         }
     }
 
-    /** Sends each written hire until it has a clear answer. */
-    private fun askHires() {
-        asking.keys.retainAll(context.view.rentals.keys)
-        granted.keys.retainAll(context.view.rentals.keys)
-        for (h in context.view.rentals.values.toList()) {
-            if (context.isBusy(StoreKeys.HIRE + h.name)) continue
-            if (h.name in granted) {
-                record(h)
-                continue
-            }
-            if (context.nowNs < (asking[h.name] ?: 0L)) continue
-            if (!rate.allows(context.nowNs)) return
-            asking[h.name] = Long.MAX_VALUE
-            cloud.rent(h) { r -> context.post { rented(h, r) } }
-        }
-    }
-
-    private fun rented(h: Rental, r: Rented) {
-        log.info("hire={} type={} zone={} preemptible={} count={} answer={}", h.name, h.machineType, h.zone, h.preemptible, h.count, r)
-        asking[h.name] = context.nowNs + (context.settings.workers.reportS / 2 * NANOS_PER_SECOND).toLong()
-        val offer = Offer(h.machineType, h.zone, h.preemptible)
-        when (r) {
-            is Rented.Unclear -> return
-            is Rented.NoCapacity, is Rented.Malformed -> refuse(offer)
-            is Rented.Hosts -> if (r.names.size < h.count) refuse(offer) else refused.remove(offer)
-        }
-        // A clear answer is not asked for again while it is being written down.
-        granted[h.name] = (r as? Rented.Hosts)?.names.orEmpty()
-        if (context.leads()) context.view.rentals[h.name]?.let(::record)
-    }
-
-    /**
-     * Writes down the machines of an answered hire, some at a time. A rental of more than one transaction
-     * takes was written in part, and its hire stood for ever as machines still to come.
-     */
-    private fun record(h: Rental) {
-        val names = granted[h.name].orEmpty()
-        if (names.any { context.isBusy(StoreKeys.HOST + it) }) return
-        val left = names.filter { it !in context.view.machines }
-        // The hire is dropped with the last of its hosts, so that none is forgotten in between.
-        val room = context.budget.bulk(context.settings.stateLimits.txnOps - 1)
-        val some = left.take(room)
-        val changes = some.map {
-            val m = Machine(it, h.machineType, h.zone, h.preemptible, MachinePhase.UP, context.nowMs, null, 0uL)
-            Change.Put(StoreKeys.HOST + it, FleetCodec.encode(m))
-        }
-        val last = if (left.size <= room) listOf(Change.Drop(StoreKeys.HIRE + h.name)) else emptyList()
-        val conditions =
-            TaskCompletion.fence(context) + (StoreKeys.HIRE + h.name to h.version) + some.associate { StoreKeys.HOST + it to 0uL }
-        context.commit(Cause.FLEET, Txn(conditions, changes + last))
-    }
-
-    private fun refuse(offer: Offer) {
-        val times = (refused[offer]?.times ?: 0) + 1
-        val wait = context.settings.listLagS * (1 shl minOf(times - 1, REFUSED_DOUBLINGS))
-        refused[offer] = Refusal(context.nowNs + (wait * NANOS_PER_SECOND).toLong(), times)
-    }
+    private class Retirement(val machine: Machine, val phase: MachinePhase, val why: String)
 
+    /** Marks as many machines as one write takes as to be returned. */
     private fun retire() {
         val w = context.view
-        val changes = ArrayList<Change>()
-        val reasons = ArrayList<Triple<Machine, MachinePhase, String>>()
-        val conditions = HashMap(TaskCompletion.fence(context))
-        val due = w.machines.values.mapNotNull { m ->
-            if (m.phase == MachinePhase.RETIRING || context.isBusy(StoreKeys.HOST + m.name)) return@mapNotNull null
-            if (context.zones?.mayReturn(m) == false) return@mapNotNull null
-            val why = reasonToRetire(m) ?: return@mapNotNull null
-            val phase = if (why == SURPLUS) MachinePhase.DRAINING else MachinePhase.RETIRING
-            if (phase == m.phase) null else Triple(m, phase, why)
+        val due = w.machines.values.mapNotNull(::retirement).associateBy { it.machine.name }
+        val most = context.budget.bulk(context.settings.stateLimits.txnOps)
+        val some = ReturnOrder.sort(context, due.values.map { it.machine }).take(most).mapNotNull { due[it.name] }
+        if (some.isEmpty()) return
+        val conditions = TaskCompletion.fence(context) + some.associate { StoreKeys.HOST + it.machine.name to it.machine.version }
+        val changes = some.map { r ->
+            Change.Put(StoreKeys.HOST + r.machine.name, FleetCodec.encode(r.machine.copy(phase = r.phase, claim = null)))
         }
-        val byName = due.associateBy { it.first.name }
-        for ((m, phase, why) in ReturnOrder.sort(context, due.map { it.first }).map { byName.getValue(it.name) }) {
-            if (changes.size >= context.budget.bulk(context.settings.stateLimits.txnOps)) break
-            conditions[StoreKeys.HOST + m.name] = m.version
-            changes += Change.Put(StoreKeys.HOST + m.name, FleetCodec.encode(m.copy(phase = phase, claim = null)))
-            reasons += Triple(m, phase, why)
-        }
-        if (changes.isEmpty() || !context.commit(Cause.FLEET, Txn(conditions, changes))) return
-        for ((m, phase, why) in reasons) {
-            log.info("host={} type={} term={} {} to be returned: {}", m.name, m.machineType, context.term(), phase, why)
+        if (!context.commit(Cause.FLEET, Txn(conditions, changes))) return
+        for (r in some) {
+            log.info(
+                "host={} type={} zone={} term={} {} to be returned: {}",
+                r.machine.name,
+                r.machine.machineType,
+                r.machine.zone,
+                context.term(),
+                r.phase,
+                r.why,
+            )
         }
     }
 
+    private fun retirement(m: Machine): Retirement? {
+        if (m.phase == MachinePhase.RETIRING || context.isBusy(StoreKeys.HOST + m.name)) return null
+        if (context.zones?.mayReturn(m) == false) return null
+        val why = reasonToRetire(m) ?: return null
+        val phase = if (why == SURPLUS) MachinePhase.DRAINING else MachinePhase.RETIRING
+        return if (phase == m.phase) null else Retirement(m, phase, why)
+    }
+
     private fun reasonToRetire(m: Machine): String? {
         val w = context.view
         val machineType = w.machineTypes[m.machineType] ?: return null
@@ -250,21 +194,26 @@
         }
         for (h in w.rentals.values) {
             val room = w.machineTypes[h.machineType]?.room ?: continue
-            val coming = granted[h.name]?.count { it !in w.machines } ?: h.count
-            repeat(coming) { bins += Bin(null, h.machineType, h.zone, h.preemptible, room) }
+            repeat(rentals.coming(h)) { bins += Bin(null, h.machineType, h.zone, h.preemptible, room) }
         }
         // Machines that save a booting one come first: cheap kinds before ordinary ones.
         // Among the ordinary ones those with images, so that spares are kept where gangs start soonest.
         val images = bins.associateWith { b -> b.host?.let(w::hostRoom)?.images?.size ?: 0 }
         bins.sortWith(compareBy({ if (it.preemptible) 0 else 1 }, { -images.getValue(it) }))
         val mostNew =
-            maxOf(MOST_PER_HIRE, (context.settings.cloudRps * MOST_PER_HIRE * context.settings.workers.reportS * PLAN_REPORTS).toInt())
+            maxOf(
+                RentalRequester.MOST_PER_RENTAL,
+                (
+                    context.settings.cloudRps * RentalRequester.MOST_PER_RENTAL *
+                        context.settings.workers.reportS *
+                        PLAN_REPORTS
+                    ).toInt(),
+            )
         val mayRent = HashMap<String, Int>()
         val roomIn = { zone: String -> mayRent.getOrPut(zone) { context.zones?.mayRent(zone) ?: Int.MAX_VALUE } }
         val packing = FleetRules.pack(demand.demands(), bins, w.machineTypes, mostNew, context.reserved::rents, load()) { o ->
-            val r = refused[o]
             val f = w.machineTypes[o.machineType]
-            if (f == null || r != null && now < r.untilNs || roomIn(o.zone) <= 0) {
+            if (f == null || rentals.isRefused(o) || roomIn(o.zone) <= 0) {
                 null
             } else if (o.preemptible) {
                 f.lowRate
@@ -283,10 +232,10 @@
         }
         idleSinceNs.keys.retainAll(w.machines.keys)
         for ((offer, wanted) in packing.rent) {
-            val n = minOf(wanted, MOST_PER_HIRE, roomIn(offer.zone))
+            val n = minOf(wanted, RentalRequester.MOST_PER_RENTAL, roomIn(offer.zone))
             if (n <= 0) continue
             mayRent[offer.zone] = roomIn(offer.zone) - n
-            hire(offer, n)
+            rentals.want(offer, n)
         }
     }
 
@@ -306,32 +255,6 @@
             .fold(free) { room, j -> room + j.spec.need * context.view.countOn(m.name, j.id) }
     }
 
-    private fun hire(offer: Offer, n: Int) {
-        val h =
-            Rental(
-                "${context.me.name}-${context.me.incarnation}-${++hireCount}",
-                offer.machineType,
-                offer.zone,
-                offer.preemptible,
-                n,
-                context.nowMs,
-                0uL,
-            )
-        val conditions = TaskCompletion.fence(context) + (StoreKeys.HIRE + h.name to 0uL)
-        val sent = context.commit(Cause.FLEET, Txn(conditions, listOf(Change.Put(StoreKeys.HIRE + h.name, FleetCodec.encode(h)))))
-        if (sent) {
-            log.info(
-                "hire={} type={} zone={} preemptible={} count={} term={} wanted",
-                h.name,
-                h.machineType,
-                h.zone,
-                h.preemptible,
-                n,
-                context.term(),
-            )
-        }
-    }
-
     private companion object {
         val log = LoggerFactory.getLogger("flaxfield.fleet")
         const val SURPLUS = "surplus"
@@ -346,10 +269,6 @@
          * in a process that has just started it held up the leases of hundreds of them for two seconds.
          */
         const val FIRST_PLAN_SHARE = 0.2
-        const val REFUSED_DOUBLINGS = 3
-
-        /** PROTOCOL-flaxfield.md: at most so many machines a rental. */
-        const val MOST_PER_HIRE = 50
 
         /** A cancelled task still there after this share of `cancel_s` costs its machine. */
         const val CANCEL_SHARE = 0.5
--- /dev/null
+++ b/src/main/kotlin/flaxfield/fleet/RentalRequester.kt
@@ -0,0 +1,132 @@
+package flaxfield.fleet
+
+import flaxfield.NANOS_PER_SECOND
+import flaxfield.jobs.TaskCompletion
+import flaxfield.node.NodeContext
+import flaxfield.store.Cause
+import flaxfield.store.Change
+import flaxfield.store.StoreKeys
+import flaxfield.store.Txn
+import org.slf4j.LoggerFactory
+
+/**
+ * The leader's rentals, from the record of what is wanted over the cloud's answer to the records of the machines. Each is
+ * written down before it is sent, so that a new leader asks again under the same name.
+ */
+class RentalRequester(private val context: NodeContext, private val cloud: CloudClient, private val rate: CloudRate) {
+    private class Refusal(val untilNs: Long, val times: Int)
+
+    private var requests = 0
+
+    /** When a rental may be sent again, by its name. */
+    private val asking = HashMap<String, Long>()
+
+    /** Rentals that have a clear answer, until it is written down. */
+    private val granted = HashMap<String, List<String>>()
+    private val refused = HashMap<Offer, Refusal>()
+
+    /** This node leads no more: what it asked is for the next leader. */
+    fun forget() {
+        asking.clear()
+        granted.clear()
+    }
+
+    /** How many machines of [rental] are still to come. */
+    fun coming(rental: Rental): Int = granted[rental.name]?.count { it !in context.view.machines } ?: rental.count
+
+    /** Whether the cloud has just said that it has no machines of [offer]. */
+    fun isRefused(offer: Offer): Boolean = refused[offer]?.let { context.nowNs < it.untilNs } ?: false
+
+    /** Sends each rental that is written down until it has a clear answer. */
+    fun ask() {
+        asking.keys.retainAll(context.view.rentals.keys)
+        granted.keys.retainAll(context.view.rentals.keys)
+        for (h in context.view.rentals.values.toList()) {
+            if (context.isBusy(StoreKeys.HIRE + h.name)) continue
+            if (h.name in granted) {
+                record(h)
+                continue
+            }
+            if (context.nowNs < (asking[h.name] ?: 0L)) continue
+            if (!rate.allows(context.nowNs)) return
+            asking[h.name] = Long.MAX_VALUE
+            cloud.rent(h) { r -> context.post { rented(h, r) } }
+        }
+    }
+
+    private fun rented(h: Rental, r: Rented) {
+        log.info("hire={} type={} zone={} preemptible={} count={} answer={}", h.name, h.machineType, h.zone, h.preemptible, h.count, r)
+        asking[h.name] = context.nowNs + (context.settings.workers.reportS / 2 * NANOS_PER_SECOND).toLong()
+        val offer = Offer(h.machineType, h.zone, h.preemptible)
+        when (r) {
+            is Rented.Unclear -> return
+            is Rented.NoCapacity, is Rented.Malformed -> refuse(offer)
+            is Rented.Hosts -> if (r.names.size < h.count) refuse(offer) else refused.remove(offer)
+        }
+        // A clear answer is not asked for again while it is being written down.
+        granted[h.name] = (r as? Rented.Hosts)?.names.orEmpty()
+        if (context.leads()) context.view.rentals[h.name]?.let(::record)
+    }
+
+    /**
+     * Writes down the machines of an answered hire, some at a time. A rental of more than one transaction
+     * takes was written in part, and its hire stood for ever as machines still to come.
+     */
+    private fun record(h: Rental) {
+        val names = granted[h.name].orEmpty()
+        if (names.any { context.isBusy(StoreKeys.HOST + it) }) return
+        val left = names.filter { it !in context.view.machines }
+        // The hire is dropped with the last of its hosts, so that none is forgotten in between.
+        val room = context.budget.bulk(context.settings.stateLimits.txnOps - 1)
+        val some = left.take(room)
+        val changes = some.map {
+            val m = Machine(it, h.machineType, h.zone, h.preemptible, MachinePhase.UP, context.nowMs, null, 0uL)
+            Change.Put(StoreKeys.HOST + it, FleetCodec.encode(m))
+        }
+        val last = if (left.size <= room) listOf(Change.Drop(StoreKeys.HIRE + h.name)) else emptyList()
+        val conditions =
+            TaskCompletion.fence(context) + (StoreKeys.HIRE + h.name to h.version) + some.associate { StoreKeys.HOST + it to 0uL }
+        context.commit(Cause.FLEET, Txn(conditions, changes + last))
+    }
+
+    private fun refuse(offer: Offer) {
+        val times = (refused[offer]?.times ?: 0) + 1
+        val wait = context.settings.listLagS * (1 shl minOf(times - 1, REFUSED_DOUBLINGS))
+        refused[offer] = Refusal(context.nowNs + (wait * NANOS_PER_SECOND).toLong(), times)
+    }
+
+    /** Writes down that [n] machines of [offer] are wanted. */
+    fun want(offer: Offer, n: Int) {
+        val h =
+            Rental(
+                "${context.me.name}-${context.me.incarnation}-${++requests}",
+                offer.machineType,
+                offer.zone,
+                offer.preemptible,
+                n,
+                context.nowMs,
+                0uL,
+            )
+        val conditions = TaskCompletion.fence(context) + (StoreKeys.HIRE + h.name to 0uL)
+        val sent = context.commit(Cause.FLEET, Txn(conditions, listOf(Change.Put(StoreKeys.HIRE + h.name, FleetCodec.encode(h)))))
+        if (sent) {
+            log.info(
+                "hire={} type={} zone={} preemptible={} count={} term={} wanted",
+                h.name,
+                h.machineType,
+                h.zone,
+                h.preemptible,
+                n,
+                context.term(),
+            )
+        }
+    }
+
+    companion object {
+        private val log = LoggerFactory.getLogger("flaxfield.fleet")
+        private const val REFUSED_DOUBLINGS = 3
+
+        /** PROTOCOL-flaxfield.md: at most so many machines a rental. */
+        const val MOST_PER_RENTAL = 50
+    }
+}
--- a/src/main/kotlin/flaxfield/operator/JobExplainer.kt
+++ b/src/main/kotlin/flaxfield/operator/JobExplainer.kt
@@ -11,6 +11,8 @@
 import flaxfield.operator.v1.JobExplanation
 import flaxfield.quota.TeamUse
 import flaxfield.settings.Team
+import flaxfield.zones.FleetZoneRules
+import flaxfield.zones.RepeatGuard
 
 /**
  * Pure: why a job waits, by the scheduler's own conditions in the order in which it asks them: the team's limit, the machines
@@ -44,6 +46,7 @@
 
     private fun reason(job: Job): Reason {
         if (job.cancelled) return Reason("cancelled", "${job.placedCount} tasks are being stopped")
+        held(job)?.let { return it }
         if (job.pendingCount == 0) return Reason("placed", "all tasks that are not done are on machines")
         if (job.isGang &&
             job.placedCount > 0
@@ -59,6 +62,19 @@
         return limit(job) ?: room(job)
     }
 
+    private val guard = RepeatGuard(FleetZoneRules { snapshot }) { snapshot.zones[it] }
+
+    /** Whether a task of it waits for word from a zone that was lost: its class forbids a repeat. */
+    private fun held(job: Job): Reason? {
+        val machine = job.allPlaced().firstNotNullOfOrNull { p ->
+            val room = snapshot.rooms[p.host]
+            val isHere = room?.state == HostState.OK && room.session == p.session
+            snapshot.machines[p.host]?.takeIf { !isHere && guard.isHeld(job, it.zone) }
+        } ?: return null
+        val order = "zone abandon ${machine.zone} --class ${job.spec.jobClass}"
+        return Reason("held", "what it had on ${machine.name} may have ended there unheard; '$order' gives it up")
+    }
+
     private fun limit(job: Job): Reason? {
         val needed = if (job.isGang) job.spec.taskCount else 1
         val allowed = TeamUse(snapshot.jobs.values, teams).allows(job.spec.owner, job.spec.need)
--- a/src/main/kotlin/flaxfield/workers/ReportHandler.kt
+++ b/src/main/kotlin/flaxfield/workers/ReportHandler.kt
@@ -58,7 +58,7 @@
             book.greetedTerm = term
             return keepAlive(report, term, reply)
         }
-        if (report.epoch == term) hosts.passed(report, book)
+        if (context.zones != null && report.epoch == term) hosts.passed(report, book)
         val owner = context.owner(report.host, report.zone)
         val now = context.nowNs
         val lease = context.settings.workers.leaseS * NANOS_PER_SECOND
--- a/src/test/kotlin/flaxfield/zones/ZoneChecker.kt
+++ b/src/test/kotlin/flaxfield/zones/ZoneChecker.kt
@@ -82,6 +82,9 @@
     /** How many tasks ran in the zone at the first loss, by class. */
     val displaced: Map<String, Int> get() = losses.first().classes.values.groupingBy { it }.eachCount()
 
+    /** How many machines of the zone had new work after its first return. */
+    val ramped: Int get() = starts.filter { it.zone == zone && it.atS > healedAt.first() }.distinctBy { it.host }.size
+
     /** When the last of the displaced tasks of each tier ran again, seconds after the first loss. */
     fun recoveredS(): Map<Int, Double> = losses.first().let { loss ->
         loss.classes.entries.groupBy({ ZoneDay.tier(it.value) }, { restart(loss, it.key) })
--- a/src/test/kotlin/flaxfield/zones/ZoneSimulationTest.kt
+++ b/src/test/kotlin/flaxfield/zones/ZoneSimulationTest.kt
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
+import org.junit.jupiter.params.provider.ValueSource
 
 /** Zones that fall away and come back while controllers fail; judged by a checker that shares no code with the planner. */
 class ZoneSimulationTest {
@@ -34,6 +35,18 @@
         assertTrue(recovered.getValue(0) <= recovered.getValue(5), "$recovered")
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = [5, 6, 7])
+    fun `a zone that comes back with most of its machines gets new work on a growing share of them`(seed: Int) {
+        // No controller inside: all leases end, and all that ran there waits when it comes back.
+        val day = ZoneDay(ZonePlan(seed, listOf("a", "b", "a"), perZone = 16, jobs = ZoneDay.jobs(count = 60)))
+        day.cut(60.0, 12.5)
+        day.run(END_S)
+        assertRecovered(day)
+        assertEquals(listOf("suspect", "lost", "returning", "healthy"), states(day))
+        assertTrue(day.checker.ramped >= 8, "${day.checker.ramped}")
+    }
+
     @ParameterizedTest
     @CsvSource("11, a b c", "12, a b a")
     fun `a cut shorter than a lease moves nothing and starts no ramp`(seed: Int, controllers: String) {
@@ -188,8 +201,10 @@
         val day = ZoneDay(ZonePlan(seed, jobs = ZoneDay.jobs(deeds = true)))
         day.cut(60.0, cutS)
         var held = emptyList<String>()
+        var reasons = emptySet<String>()
         day.at(130.0) {
             held = day.answer().heldList.filter { it.tasks > 0 }.map { it.jobClass }
+            reasons = day.reasons("deed")
             day.checker.abandoned("deed")
             day.abandon("deed")
         }
@@ -198,6 +213,7 @@
         assertEquals(emptyList<String>(), day.broken().take(8), "${day.states}")
         assertEquals(emptyList<String>(), day.unfinished())
         assertEquals(listOf("deed"), held)
+        assertTrue("held" in reasons, "$reasons")
         assertEquals(emptyList<Any>() to listOf("deed"), day.answer().let { it.heldList to it.abandonedList })
     }
 
