Stalled jobs and unmet demands are reported with what decides between their causes

Change: job_stalled names how many open machines have free resources (fitting) and how many of these the job excludes (excluded), with the reason machines_excluded if these are all. event=demand_unmet and the metric flaxfield_unmet_demands name the waiting jobs for which a plan finds neither a machine nor an offer, with the zone that the plan is bound to.

--- a/src/main/kotlin/flaxfield/controller/ControllerStats.kt
+++ b/src/main/kotlin/flaxfield/controller/ControllerStats.kt
@@ -13,6 +13,9 @@
     private var refusals = 0L
     private var unknown = 0L
 
+    /** The number of waiting jobs for which the leader's latest plan found neither a machine nor an offer. */
+    var unmetDemands = 0
+
     /** The accumulated time in nanoseconds, by duty name. */
     private val dutyNs = TreeMap<String, Long>()
 
@@ -54,6 +57,7 @@
         append("flaxfield_transactions_conflict $conflicts\n")
         append("flaxfield_transactions_refused $refusals\n")
         append("flaxfield_transactions_unknown $unknown\n")
+        append("flaxfield_unmet_demands $unmetDemands\n")
         for ((duty, ns) in dutyNs) append("flaxfield_duty_seconds{duty=\"$duty\"} ${ns / NANOS_PER_SECOND}\n")
     }
 }
--- a/src/main/kotlin/flaxfield/fleet/BinPacker.kt
+++ b/src/main/kotlin/flaxfield/fleet/BinPacker.kt
@@ -12,8 +12,18 @@
     var free: Resources,
 )
 
-/** The result of bin packing: the number of machines to rent per offer, and the existing machines that are used. */
-data class PackingResult(val newMachines: Map<Offer, Int>, val usedMachines: Set<String>)
+/** The [tasks] of a demand for which neither a bin nor an offer was found, in [zone] if the demand was bound to it. */
+data class UnmetDemand(val job: String, val tasks: Int, val zone: String?)
+
+/**
+ * The result of bin packing: the number of machines to rent per offer, the existing machines that are used, and the
+ * demands that no machine and no offer can meet now.
+ */
+data class PackingResult(
+    val newMachines: Map<Offer, Int>,
+    val usedMachines: Set<String>,
+    val unmet: List<UnmetDemand> = emptyList(),
+)
 
 /**
  * Packs capacity demands first-fit into existing and requested machines, and adds machines from [offers] for the rest.
@@ -40,6 +50,7 @@
         private val usedMachines = HashSet<String>()
         private val newMachines = LinkedHashMap<Offer, Int>()
         private var newMachineCount = 0
+        private val unmet = ArrayList<UnmetDemand>()
 
         fun pack(demands: List<CapacityDemand>): PackingResult {
             for (demand in demands) {
@@ -47,7 +58,7 @@
                 // Without this, each further demand would scan all full bins again.
                 openBins.removeIf { !it.free.canHold(smallestRequest) }
             }
-            return PackingResult(newMachines, usedMachines)
+            return PackingResult(newMachines, usedMachines, unmet)
         }
 
         private fun place(demand: CapacityDemand) {
@@ -59,7 +70,13 @@
             while (remaining > 0) {
                 index = firstFitFrom(index, demand, topology, requiredZone)
                 if (index >= openBins.size) {
-                    openBins += addMachine(demand, remaining, topology) ?: return
+                    if (newMachineCount >= maxNewMachines) return
+                    val machine = addMachine(demand, remaining, topology)
+                    if (machine == null) {
+                        unmet += UnmetDemand(spec.id, remaining, requiredZone)
+                        return
+                    }
+                    openBins += machine
                     continue
                 }
                 val bin = openBins[index]
@@ -89,9 +106,8 @@
             return index
         }
 
-        /** Adds a machine for [tasks] tasks of [demand]; null if the limit is reached or no offer is suitable. */
+        /** Adds a machine for [tasks] tasks of [demand]; null if no offer is suitable. */
         private fun addMachine(demand: CapacityDemand, tasks: Int, topology: TopologyConstraint): Bin? {
-            if (newMachineCount >= maxNewMachines) return null
             val offer = offers.select(demand, tasks, topology, newMachines) ?: return null
             newMachines.merge(offer, 1, Int::plus)
             newMachineCount++
--- a/src/main/kotlin/flaxfield/fleet/FleetReconciler.kt
+++ b/src/main/kotlin/flaxfield/fleet/FleetReconciler.kt
@@ -80,6 +80,7 @@
         scaleIn.reset()
         idleMachines.clear()
         scaleOut.reset()
+        scaleOutPlanner.reset()
         machineTypeRefresher.reset()
     }
 
--- a/src/main/kotlin/flaxfield/fleet/ScaleOutPlanner.kt
+++ b/src/main/kotlin/flaxfield/fleet/ScaleOutPlanner.kt
@@ -16,6 +16,8 @@
     private val bootMonitor: BootMonitor,
     private val idleMachines: IdleMachines,
 ) {
+    private val unmetDemands = UnmetDemandMonitor(context)
+
     /** Tracks how many more machines one plan may rent in each zone. */
     private inner class ZoneLimits {
         private val remaining = HashMap<String, Int>()
@@ -34,6 +36,7 @@
         val limits = ZoneLimits()
         val plan = pack(limits)
         updateIdleMachines(plan.usedMachines, nowNs)
+        unmetDemands.update(plan.unmet)
         for ((offer, wanted) in plan.newMachines) {
             val count = minOf(wanted, ScaleOutReconciler.MAX_PER_RENTAL, limits.remaining(offer.zone))
             if (count <= 0) continue
@@ -42,6 +45,9 @@
         }
     }
 
+    /** Discards the state of earlier plans; called when this process is no longer the leader. */
+    fun reset() = unmetDemands.reset()
+
     private fun pack(limits: ZoneLimits): PackingResult {
         val bins = bins()
         val filter = MachineKindFilter(context.scheduling.reservations::isUnreservedFor)
--- a/src/main/kotlin/flaxfield/jobs/StallMonitor.kt
+++ b/src/main/kotlin/flaxfield/jobs/StallMonitor.kt
@@ -1,6 +1,8 @@
 package flaxfield.jobs
 
 import flaxfield.NANOS_PER_SECOND
+import flaxfield.arrays.MachineHealth
+import flaxfield.arrays.TopologyConstraint
 import flaxfield.controller.ControllerContext
 import org.slf4j.LoggerFactory
 
@@ -12,6 +14,9 @@
     /** Pending tasks wait for free resources. */
     WAITS_FOR_RESOURCES,
 
+    /** Machines have free resources for pending tasks, but the job may use none of them because it failed there. */
+    MACHINES_EXCLUDED,
+
     /** Tasks are stopping, and their termination has not been confirmed yet. */
     WAITS_FOR_PROOF,
 
@@ -22,19 +27,27 @@
     MACHINE_GONE,
 }
 
+/** How many open machines have free resources for a task of a job, and how many of these the job excludes. */
+data class FittingMachines(val count: Int, val excluded: Int) {
+    /** Whether the exclusions alone keep the job from all machines with free resources. */
+    val areAllExcluded: Boolean get() = count > 0 && excluded == count
+}
+
 /** Determines why a job makes no progress. Pure functions. */
 object StallRules {
     /**
-     * Returns why [job] makes no progress. [machineExists] returns whether a machine has a record. The record is
-     * deleted only after the cloud has confirmed the machine's return.
+     * Returns why [job] makes no progress, given the machines with free resources, [fitting]. [machineExists] returns
+     * whether a machine has a record. The record is deleted only after the cloud has confirmed the machine's return.
      */
-    fun reason(job: Job, nowMs: Long, machineExists: (String) -> Boolean): StallReason = when {
-        job.allPlaced().any { !machineExists(it.machineName) } -> StallReason.MACHINE_GONE
-        job.retryAtMs > nowMs -> StallReason.BACKS_OFF
-        job.pendingCount > 0 -> StallReason.WAITS_FOR_RESOURCES
-        job.cancelled || job.allPlaced().any { it.stopping } -> StallReason.WAITS_FOR_PROOF
-        else -> StallReason.NOT_STALLED
-    }
+    fun reason(job: Job, nowMs: Long, fitting: FittingMachines, machineExists: (String) -> Boolean): StallReason =
+        when {
+            job.allPlaced().any { !machineExists(it.machineName) } -> StallReason.MACHINE_GONE
+            job.retryAtMs > nowMs -> StallReason.BACKS_OFF
+            job.pendingCount > 0 && fitting.areAllExcluded -> StallReason.MACHINES_EXCLUDED
+            job.pendingCount > 0 -> StallReason.WAITS_FOR_RESOURCES
+            job.cancelled || job.allPlaced().any { it.stopping } -> StallReason.WAITS_FOR_PROOF
+            else -> StallReason.NOT_STALLED
+        }
 }
 
 /**
@@ -72,17 +85,26 @@
 
     private fun check(job: Job, observation: Observation) {
         val unchangedS = (context.nowNs - observation.sinceNs) / NANOS_PER_SECOND
-        if (unchangedS > context.settings.workers.leaseS && reason(job) == StallReason.MACHINE_GONE) {
-            recordOrphansAsLost(job)
-        }
+        if (unchangedS <= context.settings.workers.leaseS) return
+        val fitting = fittingMachines(job)
+        val reason = StallRules.reason(job, context.nowMs, fitting, context.view.machines::containsKey)
+        if (reason == StallReason.MACHINE_GONE) recordOrphansAsLost(job)
         if (unchangedS < STALL_THRESHOLD_S * (observation.logCount + 1)) return
         observation.logCount++
-        val reason = reason(job)
-        if (reason != StallReason.NOT_STALLED) logStall(job, unchangedS, reason)
+        if (reason != StallReason.NOT_STALLED) logStall(job, unchangedS, reason, fitting)
     }
 
-    private fun reason(job: Job): StallReason =
-        StallRules.reason(job, context.nowMs, context.view.machines::containsKey)
+    private fun fittingMachines(job: Job): FittingMachines {
+        val view = context.view
+        if (job.pendingCount == 0) return FittingMachines(0, 0)
+        val fitting = view.machines.values.filter { machine ->
+            machine.isSchedulable &&
+                view.machineStatus(machine.name)?.health == MachineHealth.OK &&
+                TopologyConstraint.allowsMachine(job.spec, machine) &&
+                view.free(machine)?.canHold(job.spec.taskResources) == true
+        }
+        return FittingMachines(fitting.size, fitting.count { it.name in job.failedMachines })
+    }
 
     /**
      * Records tasks on removed machines as lost. A machine's record is deleted only after the cloud has confirmed its
@@ -103,8 +125,8 @@
         }
     }
 
-    private fun logStall(job: Job, unchangedS: Double, reason: StallReason) = log.info(
-        "event=job_stalled term={} job={} reason={} unchanged_s={} pending={} placed={} team={}",
+    private fun logStall(job: Job, unchangedS: Double, reason: StallReason, fitting: FittingMachines) = log.info(
+        "event=job_stalled term={} job={} reason={} unchanged_s={} pending={} placed={} team={} fitting={} excluded={}",
         context.leadership.term(),
         job.id,
         reason.name.lowercase(),
@@ -112,6 +134,8 @@
         job.pendingCount,
         job.placedCount,
         job.spec.team,
+        fitting.count,
+        fitting.excluded,
     )
 
     private companion object {
--- a/src/test/kotlin/flaxfield/fleet/BinPackerTest.kt
+++ b/src/test/kotlin/flaxfield/fleet/BinPackerTest.kt
@@ -48,7 +48,8 @@
     fun `rents on-demand machines for preemptible jobs only when they are urgent`() {
         val spec = Samples.spec(zone = "a")
         val spotOffers = setOf(Offer("big", "a", true), Offer("small", "a", true))
-        assertEquals(emptyMap<Offer, Int>(), rent(spec, 4, spotOffers))
+        val refused = pack(listOf(CapacityDemand(spec, 4)), refused = spotOffers)
+        assertEquals(PackingResult(emptyMap(), emptySet(), listOf(UnmetDemand("job-1", 4, null))), refused)
         assertEquals(mapOf(Offer("big", "a", false) to 1), rent(spec, 4, spotOffers, isUrgent = true))
     }
 
--- a/src/test/kotlin/flaxfield/jobs/StallRulesTest.kt
+++ b/src/test/kotlin/flaxfield/jobs/StallRulesTest.kt
@@ -18,6 +18,9 @@
             // The machine was returned and its record deleted, so no heartbeat will ever confirm that the task left.
             job.on(0 to "h", 1 to "lost") to StallReason.MACHINE_GONE,
         )
-        for ((sample, expected) in table) assertEquals(expected, StallRules.reason(sample, 10, machineExists))
+        val someFit = FittingMachines(2, 1)
+        for ((sample, expected) in table) assertEquals(expected, StallRules.reason(sample, 10, someFit, machineExists))
+        val allExcluded = FittingMachines(2, 2)
+        assertEquals(StallReason.MACHINES_EXCLUDED, StallRules.reason(job, 10, allExcluded, machineExists))
     }
 }
