--- a/src/main/kotlin/flaxfield/arrays/ArrayPlacement.kt
+++ b/src/main/kotlin/flaxfield/arrays/ArrayPlacement.kt
@@ -9,8 +9,8 @@
     data class Limits(val tasks: Int, val machines: Int = Int.MAX_VALUE, val chunks: Int = Int.MAX_VALUE)
 
     /**
-     * Places pending tasks of [job], starting with [firstTask], within [limits] and only from the chunks for which
-     * [isChunkOpen] holds. Subtracts their resources from the candidates, and returns the candidates by task index.
+     * Places pending tasks of [job] at [nowMs], starting with [firstTask], within [limits] and only from the chunks for
+     * which [isChunkOpen] holds. Subtracts their resources from the candidates, and returns the candidates by task index.
      */
     fun place(
         job: Job,
@@ -18,11 +18,12 @@
         topology: TopologyConstraint,
         firstTask: Int,
         limits: Limits,
+        nowMs: Long,
         isChunkOpen: (Int) -> Boolean = { true },
     ): Map<Int, PlacementCandidate> {
         if (limits.tasks <= 0) return emptyMap()
         val spec = job.spec
-        val eligible = candidates.filter { it.fits(job) }.sortedWith(binPackingOrder(spec)).take(limits.machines)
+        val eligible = candidates.filter { it.fits(job, nowMs) }.sortedWith(binPackingOrder(spec)).take(limits.machines)
         if (eligible.isEmpty()) return emptyMap()
         val placed = LinkedHashMap<Int, PlacementCandidate>()
         val chunks = HashSet<Int>()
--- a/src/main/kotlin/flaxfield/arrays/ArrayScheduler.kt
+++ b/src/main/kotlin/flaxfield/arrays/ArrayScheduler.kt
@@ -82,7 +82,9 @@
         if (placed == 0 && context.scheduling.isStarved(job)) cycle.usage.add(job.spec.team, job.spec.taskResources)
         if (unplacedTasks > 0 && !job.isCrashLooping) {
             val tasksForShard = unplacedTasks / (context.view.assignment?.members?.size ?: 1) + 1
-            cycle.headOfLine.reserve(job.spec, tasksForShard, cycle.candidates) { arrayCandidates.isSuitable(job, it) }
+            cycle.headOfLine.reserve(job.spec, tasksForShard, cycle.candidates) {
+                it.admits(job, context.nowMs) && arrayCandidates.isSuitable(job, it)
+            }
         }
     }
 
--- a/src/main/kotlin/flaxfield/arrays/ArrayTaskPlacer.kt
+++ b/src/main/kotlin/flaxfield/arrays/ArrayTaskPlacer.kt
@@ -55,7 +55,7 @@
             JobTransactions.maxChunks(context.settings.stateLimits),
         )
         val topology = TopologyConstraint(job.spec, placedZones(job))
-        return ArrayPlacement.place(job, candidates, topology, turns.firstTask(job), limits) {
+        return ArrayPlacement.place(job, candidates, topology, turns.firstTask(job), limits, context.nowMs) {
             !context.transactions.isWritePending(StoreKeys.chunk(job.id, it))
         }
     }
--- a/src/main/kotlin/flaxfield/arrays/HeadOfLineReservations.kt
+++ b/src/main/kotlin/flaxfield/arrays/HeadOfLineReservations.kt
@@ -18,8 +18,9 @@
     }
 
     /**
-     * Reserves machines for [tasks] tasks of [spec], among those for which [isSuitable] holds. Takes those with the
-     * most free resources first, and as many as can hold the tasks once they are empty.
+     * Reserves machines for [tasks] tasks of [spec], among those for which [isSuitable] holds: the job may use them, once
+     * they have free resources. Takes those with the most free resources first, and as many as can hold the tasks once
+     * they are empty.
      */
     fun reserve(
         spec: JobSpec,
@@ -28,7 +29,7 @@
         isSuitable: (PlacementCandidate) -> Boolean,
     ) {
         val eligible = candidates.filter {
-            it.machine.name !in reservedFor && TopologyConstraint.allowsMachine(spec, it.machine) && isSuitable(it)
+            it.machine.name !in reservedFor && isSuitable(it)
         }
         var remaining = tasks
         for (candidate in eligible.sortedWith(MOST_FREE_FIRST)) {
--- a/src/main/kotlin/flaxfield/arrays/InitialPlacement.kt
+++ b/src/main/kotlin/flaxfield/arrays/InitialPlacement.kt
@@ -28,7 +28,7 @@
         val eligible = arrayCandidates.eligible(job, arrayCandidates.list(job.spec.taskResources))
         val limits = ArrayPlacement.Limits(context.scheduling.admissibleTasks(job, usage))
         val topology = TopologyConstraint(job.spec, emptyList())
-        val placement = ArrayPlacement.place(job, eligible, topology, firstTask = 0, limits)
+        val placement = ArrayPlacement.place(job, eligible, topology, firstTask = 0, limits, context.nowMs)
         if (placement.size < job.spec.taskCount) return null
         val placed = job.place(placement.mapValues { (_, candidate) -> candidate.target() })
         val machineNames = placement.values.map { it.machine.name }
--- a/src/main/kotlin/flaxfield/arrays/PlacementCandidate.kt
+++ b/src/main/kotlin/flaxfield/arrays/PlacementCandidate.kt
@@ -27,8 +27,10 @@
     /** Returns the machine and worker incarnation that a task placed here is bound to. */
     fun target() = Job.Target(machine.name, incarnation)
 
-    /** Whether one more task of [job] may run on the machine and fits into its free resources. */
-    fun fits(job: Job): Boolean = TopologyConstraint.allowsMachine(job.spec, machine) &&
-        machine.name !in job.failedMachines &&
-        free.canHold(job.spec.taskResources)
+    /** Whether tasks of [job] may be placed on the machine at [nowMs], regardless of its free resources. */
+    fun admits(job: Job, nowMs: Long): Boolean = TopologyConstraint.allowsMachine(job.spec, machine) &&
+        (job.failedMachines.isEmpty() || machine.name !in job.excludedMachines(nowMs))
+
+    /** Whether one more task of [job] may be placed on the machine at [nowMs] and fits into its free resources. */
+    fun fits(job: Job, nowMs: Long): Boolean = admits(job, nowMs) && free.canHold(job.spec.taskResources)
 }
--- a/src/main/kotlin/flaxfield/fleet/BinPacker.kt
+++ b/src/main/kotlin/flaxfield/fleet/BinPacker.kt
@@ -129,6 +129,7 @@
 
     private fun accepts(bin: Bin, demand: CapacityDemand, topology: TopologyConstraint): Boolean =
         TopologyConstraint.allowsMachineKind(demand.spec, bin.machineType, bin.zone, bin.preemptible) &&
+            bin.machineName !in demand.excludedMachines &&
             (demand.isStarved && bin.machineName != null || filter(demand.spec, bin.machineType, bin.preemptible)) &&
             bin.free.canHold(demand.spec.taskResources) &&
             topology.allows(bin.zone)
--- a/src/main/kotlin/flaxfield/fleet/CapacityDemand.kt
+++ b/src/main/kotlin/flaxfield/fleet/CapacityDemand.kt
@@ -10,4 +10,6 @@
     val isUrgent: Boolean = false,
     /** Whether it has waited so long that it may use any existing machine, even one reserved for other jobs. */
     val isStarved: Boolean = false,
+    /** The existing machines that its tasks may not use, see [flaxfield.jobs.Job.excludedMachines]. */
+    val excludedMachines: Set<String> = emptySet(),
 )
--- a/src/main/kotlin/flaxfield/fleet/CapacityPlanner.kt
+++ b/src/main/kotlin/flaxfield/fleet/CapacityPlanner.kt
@@ -51,7 +51,13 @@
             usage.add(job.spec.team, job.spec.taskResources * tasks)
             if (!job.isGang && job.spec.preemptible) queuedSpotTasks += tasks
             val queueWaitS = if (spotCompletionsPerS > 0.0) queuedSpotTasks / spotCompletionsPerS else Double.MAX_VALUE
-            demands += CapacityDemand(job.spec, tasks, isUrgent(job, queueWaitS), context.scheduling.isStarved(job))
+            demands += CapacityDemand(
+                job.spec,
+                tasks,
+                isUrgent(job, queueWaitS),
+                context.scheduling.isStarved(job),
+                job.excludedMachines(context.nowMs),
+            )
         }
         return demands
     }
--- a/src/main/kotlin/flaxfield/fleet/DemandMerger.kt
+++ b/src/main/kotlin/flaxfield/fleet/DemandMerger.kt
@@ -21,6 +21,7 @@
         val preemptible: Boolean,
         val isUrgent: Boolean,
         val isStarved: Boolean,
+        val excludedMachines: Set<String>,
     )
 
     /** Returns [demands] with the small ones merged; each result takes the position of the first of its parts. */
@@ -51,6 +52,7 @@
             spec.preemptible,
             demand.isUrgent,
             demand.isStarved,
+            demand.excludedMachines,
         )
     }
 
--- a/src/main/kotlin/flaxfield/gangs/GangPlacement.kt
+++ b/src/main/kotlin/flaxfield/gangs/GangPlacement.kt
@@ -34,13 +34,13 @@
     fun minMembers(job: Job): Int = job.spec.taskCount
 
     /**
-     * Assumes a machine for each task in turn, and stops once the assumed plus the untried tasks are fewer than the
+     * Assumes a machine for each task of [job] at [nowMs] in turn, and stops once the assumed plus the untried tasks are fewer than the
      * minimum. For a gang bound to one zone, tries the zones one by one: first those with a machine that has its image,
      * then those with the most candidates.
      */
-    fun place(job: Job, candidates: List<PlacementCandidate>): GangPlacementResult {
+    fun place(job: Job, candidates: List<PlacementCandidate>, nowMs: Long): GangPlacementResult {
         val spec = job.spec
-        val eligible = candidates.filter { it.fits(job) }
+        val eligible = candidates.filter { it.fits(job, nowMs) }
         if (!spec.sameZone) return placeWithin(job, eligible)
         var best = GangPlacementResult.Infeasible(0, spec.taskCount)
         val imageFirst = compareByDescending<List<PlacementCandidate>> { zone -> zone.any { spec.image in it.images } }
--- a/src/main/kotlin/flaxfield/gangs/GangReservations.kt
+++ b/src/main/kotlin/flaxfield/gangs/GangReservations.kt
@@ -113,7 +113,7 @@
         if (gang == null || !context.transactions.mayWrite(WriteCause.GANG, 1)) return
         val reservedAtNs = reservedSinceNs.getOrPut(gangId) { context.nowNs }
         val usable = candidates.fromReserved(machines)
-        val result = GangPlacement.place(gang, usable)
+        val result = GangPlacement.place(gang, usable, context.nowMs)
         if (result is GangPlacementResult.Feasible) return commit(gang, result.candidates, machines, usage, term)
         val heartbeatIntervalS = context.settings.workers.heartbeatIntervalS
         val timeoutNs =
--- a/src/main/kotlin/flaxfield/gangs/GangSchedulingCycle.kt
+++ b/src/main/kotlin/flaxfield/gangs/GangSchedulingCycle.kt
@@ -34,7 +34,7 @@
     private val guaranteed: Set<String>,
     val term: ULong,
 ) {
-    private val infeasible = InfeasibleShapes()
+    private val infeasible = InfeasibleShapes(context.nowMs)
     private val reclaimableByScope = HashMap<PreemptionScope, Map<String, Resources>>()
 
     /** The number of placement attempts in this run. */
@@ -64,7 +64,7 @@
 
     /** Excludes the machines that [job] will use from placements of other gangs, for the rest of this run. */
     fun reserveFor(job: Job) {
-        candidates = LargeGangReservation.withoutReserved(job, candidates, candidatesAfterEviction(job))
+        candidates = LargeGangReservation.withoutReserved(job, candidates, candidatesAfterEviction(job), context.nowMs)
     }
 
     private fun candidatesAfterEviction(job: Job): List<PlacementCandidate> {
--- a/src/main/kotlin/flaxfield/gangs/InfeasibleShapes.kt
+++ b/src/main/kotlin/flaxfield/gangs/InfeasibleShapes.kt
@@ -6,10 +6,10 @@
 import flaxfield.jobs.Resources
 
 /**
- * Caches the infeasible placement attempts of one scheduling cycle, so that equally large or larger gangs of the same
+ * Caches the infeasible placement attempts of one scheduling cycle, which runs at [nowMs], so that equally large or larger gangs of the same
  * shape are not tried again. With a hundred such gangs waiting, the attempts would take all of the leader's time.
  */
-class InfeasibleShapes {
+class InfeasibleShapes(private val nowMs: Long) {
     private data class Shape(
         val taskResources: Resources,
         val machineTypes: Set<String>?,
@@ -32,10 +32,10 @@
      * tasks the candidates count as evicted; null if they count none.
      */
     fun place(job: Job, scope: PreemptionScope?, candidates: () -> List<PlacementCandidate>): GangPlacementResult {
-        // The attempt skips the machines that this job failed on, so its result does not apply to other jobs.
-        if (job.failedMachines.isNotEmpty()) {
+        // The attempt skips the machines that this job excludes, so its result does not apply to other jobs.
+        if (job.excludedMachines(nowMs).isNotEmpty()) {
             attempts++
-            return GangPlacement.place(job, candidates())
+            return GangPlacement.place(job, candidates(), nowMs)
         }
         val shape = shapeOf(job.spec, scope)
         val minInfeasibleTaskCount = minInfeasibleTaskCounts[shape]
@@ -43,7 +43,7 @@
             return GangPlacementResult.Infeasible(0, job.spec.taskCount)
         }
         attempts++
-        val result = GangPlacement.place(job, candidates())
+        val result = GangPlacement.place(job, candidates(), nowMs)
         if (result is GangPlacementResult.Infeasible) minInfeasibleTaskCounts[shape] = job.spec.taskCount
         return result
     }
--- a/src/main/kotlin/flaxfield/gangs/LargeGangReservation.kt
+++ b/src/main/kotlin/flaxfield/gangs/LargeGangReservation.kt
@@ -40,7 +40,7 @@
         job !== quotaBlocked && job.spec.team == quotaBlocked.spec.team && job.submittedMs > quotaBlocked.submittedMs
 
     /**
-     * Returns [candidates] without the machines that are reserved for [job]. Enough machines are reserved for all its
+     * Returns [candidates] without the machines that are reserved for [job] at [nowMs]. Enough machines are reserved for all its
      * tasks. If it is bound to one zone, they are in the zone that fits most of its tasks. [afterEviction] are the same
      * candidates once all tasks that [job] may preempt have terminated.
      */
@@ -48,8 +48,9 @@
         job: Job,
         candidates: List<PlacementCandidate>,
         afterEviction: List<PlacementCandidate>,
+        nowMs: Long,
     ): List<PlacementCandidate> {
-        val eligible = afterEviction.filter { it.fits(job) }
+        val eligible = afterEviction.filter { it.fits(job, nowMs) }
         val usable = if (job.spec.sameZone) {
             eligible.groupBy { it.machine.zone }.values.maxByOrNull { zone -> countFitting(job, zone) }.orEmpty()
         } else {
--- a/src/main/kotlin/flaxfield/jobs/Job.kt
+++ b/src/main/kotlin/flaxfield/jobs/Job.kt
@@ -10,7 +10,7 @@
     val spec: JobSpec,
     val submittedMs: Long,
     val cancelledMs: Long?,
-    /** Machines on which a task of this job ended with an error, the most recent last. */
+    /** Machines on which a task of this job ended with an error, the most recent last; see [excludedMachines]. */
     val failedMachines: List<String>,
     val failureCount: Int,
     /** Wall-clock time before which no task is placed; set when the job fails on one machine after another. */
@@ -18,6 +18,8 @@
     val chunkTasks: Int,
     val chunks: Map<Int, JobChunk>,
     val version: ULong,
+    /** Wall-clock time of the latest failure; 0 if there is none, or if an earlier build recorded it. */
+    val failedAtMs: Long = 0,
 ) {
     val id: String get() = spec.id
     val cancelled: Boolean get() = cancelledMs != null
@@ -43,6 +45,14 @@
         doneCount == 0 &&
         placedCount < failureCount
 
+    /**
+     * Returns the machines on which no task may be placed at [nowMs]: those where a task failed, until
+     * [MACHINE_EXCLUSION_MS] after the latest failure. The schedulers and the capacity plan must both apply this rule.
+     * Otherwise the plan counts resources for the job that it may not use, and rents no other machine.
+     */
+    fun excludedMachines(nowMs: Long): Set<String> =
+        if (nowMs - failedAtMs < MACHINE_EXCLUSION_MS) failedMachines.toSet() else emptySet()
+
     /** Whether the job comes after all others: it crash-loops, and its retry was not due before [overdueBeforeMs]. */
     fun isDeprioritized(overdueBeforeMs: Long): Boolean = isCrashLooping && retryAtMs >= overdueBeforeMs
 
@@ -151,7 +161,8 @@
     fun sameHead(other: Job): Boolean = cancelledMs == other.cancelledMs &&
         failedMachines == other.failedMachines &&
         failureCount == other.failureCount &&
-        retryAtMs == other.retryAtMs
+        retryAtMs == other.retryAtMs &&
+        failedAtMs == other.failedAtMs
 
     private fun updateChunks(indexes: Collection<Int>, change: (JobChunk, Int) -> JobChunk): Job {
         val next = HashMap(chunks)
@@ -164,4 +175,12 @@
 
     /** The machine to place a task on, and the incarnation that its worker last reported. */
     data class Target(val name: String, val incarnation: ULong)
+
+    companion object {
+        /**
+         * How long a job avoids the machines where it failed. This is enough for an attempt elsewhere. After that, it
+         * has half of the 90 s left within which a job must start if a machine has free resources.
+         */
+        const val MACHINE_EXCLUSION_MS = 45_000L
+    }
 }
--- a/src/main/kotlin/flaxfield/jobs/JobCodec.kt
+++ b/src/main/kotlin/flaxfield/jobs/JobCodec.kt
@@ -89,7 +89,10 @@
         "errors" to job.failureCount,
         "retry" to job.retryAtMs,
         "size" to job.chunkTasks,
-    ) + encodeChunk(job.chunks[0] ?: JobChunk.empty())
+    ) + encodeFailureTime(job) + encodeChunk(job.chunks[0] ?: JobChunk.empty())
+
+    private fun encodeFailureTime(job: Job): Map<String, Any?> =
+        if (job.failedAtMs > 0) mapOf("failed_at" to job.failedAtMs) else emptyMap()
 
     /** Decodes a job's head record; throws [MalformedException] for a missing or invalid field. */
     fun decodeHead(fields: FieldMap, version: ULong): Job = Job(
@@ -102,6 +105,7 @@
         chunkTasks = fields.requireInt("size"),
         chunks = mapOf(0 to decodeChunk(fields, version)),
         version = version,
+        failedAtMs = fields.unsigned("failed_at")?.toLong() ?: 0,
     )
 
     /** Encodes a chunk; chunk 0 is part of the head record. */
--- a/src/main/kotlin/flaxfield/jobs/StallMonitor.kt
+++ b/src/main/kotlin/flaxfield/jobs/StallMonitor.kt
@@ -103,7 +103,8 @@
                 TopologyConstraint.allowsMachine(job.spec, machine) &&
                 view.free(machine)?.canHold(job.spec.taskResources) == true
         }
-        return FittingMachines(fitting.size, fitting.count { it.name in job.failedMachines })
+        val excluded = job.excludedMachines(context.nowMs)
+        return FittingMachines(fitting.size, fitting.count { it.name in excluded })
     }
 
     /**
--- a/src/main/kotlin/flaxfield/jobs/TaskEventRules.kt
+++ b/src/main/kotlin/flaxfield/jobs/TaskEventRules.kt
@@ -53,6 +53,11 @@
         // One completed task shows that the job itself works and that the machines caused its failures.
         val backsOff = doublings >= 0 && job.doneCount == 0
         val retryAtMs = if (backsOff) nowMs + (backoffMs shl minOf(doublings, MAX_BACKOFF_DOUBLINGS)) else 0L
-        return job.copy(failedMachines = failedMachines, failureCount = job.failureCount + 1, retryAtMs = retryAtMs)
+        return job.copy(
+            failedMachines = failedMachines,
+            failureCount = job.failureCount + 1,
+            retryAtMs = retryAtMs,
+            failedAtMs = nowMs,
+        )
     }
 }
--- a/src/main/kotlin/flaxfield/operator/JobExplainer.kt
+++ b/src/main/kotlin/flaxfield/operator/JobExplainer.kt
@@ -16,10 +16,15 @@
 
 /**
  * Explains why a job's tasks are pending. Checks the scheduler's conditions in the scheduler's order: the team's limit,
- * the allowed machines, and a placement round over the resources that are free according to the records. Pure.
+ * the allowed machines, and a placement round over the resources that are free according to the records, all at [nowMs].
+ * Pure.
  */
-class JobExplainer(private val snapshot: FleetSnapshot, private val teams: Map<String, Team>) {
-    private val placement = PlacementExplainer(snapshot)
+class JobExplainer(
+    private val snapshot: FleetSnapshot,
+    private val teams: Map<String, Team>,
+    private val nowMs: Long,
+) {
+    private val placement = PlacementExplainer(snapshot, nowMs)
     private val repeatGuard = RepeatGuard(FleetZoneRules { snapshot }) { snapshot.zones[it] }
 
     /** Returns the state of [job] and the first condition that its pending tasks do not meet. */
--- a/src/main/kotlin/flaxfield/operator/OperatorService.kt
+++ b/src/main/kotlin/flaxfield/operator/OperatorService.kt
@@ -1,5 +1,6 @@
 package flaxfield.operator
 
+import flaxfield.controller.Clock
 import flaxfield.drain.DrainOrder
 import flaxfield.drain.DrainRecord
 import flaxfield.drain.FleetControl
@@ -36,6 +37,7 @@
     /** Posts work to the owner thread. */
     post: (() -> Unit) -> Unit,
     private val finishedJobs: FinishedJobReader,
+    private val clock: Clock = Clock.System,
 ) : OperatorGrpc.OperatorImplBase() {
     private val calls = CallExecutor({ control.publisher.current }, post)
 
@@ -97,7 +99,7 @@
 
     private fun explain(snapshot: FleetSnapshot, id: String): JobExplanation {
         val job = snapshot.jobs[id] ?: throw CallStatus.notFound("no job $id")
-        return JobExplainer(snapshot, settings.teams).explain(job)
+        return JobExplainer(snapshot, settings.teams, clock.wallClockMs()).explain(job)
     }
 
     private fun explainFinished(id: String, result: FinishedJobResult, observer: StreamObserver<JobExplanation>) {
--- a/src/main/kotlin/flaxfield/operator/PlacementExplainer.kt
+++ b/src/main/kotlin/flaxfield/operator/PlacementExplainer.kt
@@ -1,5 +1,6 @@
 package flaxfield.operator
 
+import flaxfield.MILLIS_PER_SECOND
 import flaxfield.arrays.MachineHealth
 import flaxfield.arrays.PlacementCandidate
 import flaxfield.arrays.TopologyConstraint
@@ -10,8 +11,8 @@
 import flaxfield.jobs.Job
 import flaxfield.jobs.Resources
 
-/** Explains why a job's pending tasks are not placed. Pure. */
-internal class PlacementExplainer(private val snapshot: FleetSnapshot) {
+/** Explains why a job's pending tasks are not placed at [nowMs]. Pure. */
+internal class PlacementExplainer(private val snapshot: FleetSnapshot, private val nowMs: Long) {
     /** Returns the first placement condition that the pending tasks of [job] do not meet. */
     fun explain(job: Job): JobReason {
         val allowed = snapshot.machines.values.filter {
@@ -34,13 +35,16 @@
     /** Explains the result of a placement round over [machines]. */
     private fun explainPlacementRound(job: Job, machines: List<Machine>): JobReason {
         val candidates = candidates(machines)
-        val round = GangPlacement.place(job, candidates.map { it.copy() })
-        val fitting = candidates.sumOf { minOf(it.free.countFitting(job.spec.taskResources), job.pendingCount) }
+        val round = GangPlacement.place(job, candidates.map { it.copy() }, nowMs)
+        val admitted = candidates.filter { it.admits(job, nowMs) }
+        val fitting = countFitting(job, admitted)
+        val isPlaceable = if (job.isGang) round is GangPlacementResult.Feasible else fitting > 0
         return when {
+            !isPlaceable && countFitting(job, candidates) > fitting -> excludedMachines(job)
             job.isGang && round is GangPlacementResult.Infeasible -> JobReason(
                 "no_room_for_gang",
                 "a placement round over ${machines.size} schedulable machines " +
-                    "placed ${round.assumed} of ${job.spec.taskCount} tasks",
+                    "placed ${round.assumed} of ${job.spec.taskCount} tasks" + zoneDetail(job, admitted),
             )
             !job.isGang && fitting == 0 ->
                 JobReason("no_room", "none of ${machines.size} schedulable machines has free resources for a task")
@@ -51,6 +55,29 @@
         }
     }
 
+    private fun countFitting(job: Job, candidates: List<PlacementCandidate>): Int =
+        candidates.sumOf { minOf(it.free.countFitting(job.spec.taskResources), job.pendingCount) }
+
+    private fun excludedMachines(job: Job): JobReason {
+        val remainingS = (job.failedAtMs + Job.MACHINE_EXCLUSION_MS - nowMs) / MILLIS_PER_SECOND
+        return JobReason(
+            "failed_on_machines",
+            "a task failed on ${job.failedMachines.joinToString()}: the job avoids these machines, which have free " +
+                "resources, for ${remainingS.toInt()} s more, and others are rented if the cloud has any",
+        )
+    }
+
+    /** Describes how many tasks of a gang that is bound to one zone the [admitted] machines of each zone fit. */
+    private fun zoneDetail(job: Job, admitted: List<PlacementCandidate>): String {
+        if (!job.spec.sameZone) return ""
+        val zones = snapshot.machineTypes.values.flatMap { it.zones }.toSortedSet()
+            .filter { job.spec.zone == null || job.spec.zone == it }
+        val fittingByZone = zones.map { zone ->
+            "$zone ${countFitting(job, admitted.filter { it.machine.zone == zone })}"
+        }
+        return "; all must be in one zone, and the free resources fit: ${fittingByZone.joinToString()}"
+    }
+
     /** Returns the machines of known types with the resources that their placed tasks leave free. */
     private fun candidates(machines: List<Machine>): List<PlacementCandidate> {
         val used = usedByMachine()
--- a/src/test/kotlin/flaxfield/arrays/ArrayPlacementTest.kt
+++ b/src/test/kotlin/flaxfield/arrays/ArrayPlacementTest.kt
@@ -13,6 +13,7 @@
         TopologyConstraint(spec, emptyList()),
         firstTask,
         ArrayPlacement.Limits(maxTasks),
+        nowMs = 0,
     ).mapValues {
         it.value.machine.name
     }
@@ -27,6 +28,7 @@
                 TopologyConstraint(spec, emptyList()),
                 6,
                 limits,
+                nowMs = 0,
                 isChunkOpen,
             )
         assertEquals(24, place(ArrayPlacement.Limits(99)).size)
--- a/src/test/kotlin/flaxfield/fleet/BinPackerTest.kt
+++ b/src/test/kotlin/flaxfield/fleet/BinPackerTest.kt
@@ -68,6 +68,14 @@
         assertEquals(setOf("h2"), spotOnly.usedMachines)
     }
 
+    /** Guards against review case 1: room on a machine that the job excludes was counted, and no other was rented. */
+    @Test
+    fun `rents a machine for a demand that excludes the existing ones`() {
+        val demand = CapacityDemand(Samples.spec(zone = "a"), 1, excludedMachines = setOf("h1"))
+        val result = pack(listOf(demand), listOf(Bin("h1", "big", "a", true, oneTask)))
+        assertEquals(PackingResult(mapOf(Offer("small", "a", true) to 1), emptySet()), result)
+    }
+
     @Test
     fun `packs the tasks of a same-zone gang into one zone`() {
         val bins = listOf(Bin("a1", "big", "a", false, oneTask * 2), Bin("b1", "big", "b", false, oneTask * 2))
--- a/src/test/kotlin/flaxfield/fleet/DemandMergerTest.kt
+++ b/src/test/kotlin/flaxfield/fleet/DemandMergerTest.kt
@@ -20,9 +20,10 @@
                 sameZoneArray,
                 smallDemand(3, 0.1),
                 smallDemand(4, 0.1).copy(isUrgent = true),
+                smallDemand(5, 0.1).copy(excludedMachines = setOf("host-1")),
             ),
         )
-        assertEquals(listOf(3, 9, 2, 1), merged.map { it.tasks })
+        assertEquals(listOf(3, 9, 2, 1, 1), merged.map { it.tasks })
         assertEquals(Resources(0.3, 0.0, 1.0), merged.first().spec.taskResources)
     }
 }
--- a/src/test/kotlin/flaxfield/gangs/InfeasibleShapesTest.kt
+++ b/src/test/kotlin/flaxfield/gangs/InfeasibleShapesTest.kt
@@ -10,7 +10,7 @@
 class InfeasibleShapesTest {
     @Test
     fun `gangs of an infeasible shape and size are not tried again in the same cycle`() {
-        val shapes = InfeasibleShapes()
+        val shapes = InfeasibleShapes(nowMs = 0)
         val candidates = { listOf(candidate("h1", 1), candidate("h2", 1)) }
         assertTrue(shapes.place(gang(3), null, candidates) is GangPlacementResult.Infeasible)
         for (taskCount in 3..5) {
@@ -30,7 +30,7 @@
         // An attempt that skips the machines its job failed on is not remembered for other gangs.
         val gangWithFailedMachine = gang(3).copy(failedMachines = listOf("h1"))
         assertTrue(
-            InfeasibleShapes().apply {
+            InfeasibleShapes(nowMs = 0).apply {
                 place(gangWithFailedMachine, null, candidates)
             }.place(gang(2), null, candidates) is GangPlacementResult.Feasible,
         )
--- a/src/test/kotlin/flaxfield/gangs/LargeGangReservationTest.kt
+++ b/src/test/kotlin/flaxfield/gangs/LargeGangReservationTest.kt
@@ -46,13 +46,13 @@
             )
         assertEquals(
             listOf("a1", "c1"),
-            LargeGangReservation.withoutReserved(gang(3, sameZone = true), candidates, candidates).map {
+            LargeGangReservation.withoutReserved(gang(3, sameZone = true), candidates, candidates, nowMs = 0).map {
                 it.machine.name
             },
         )
         assertEquals(
             listOf("b1", "b2", "c1"),
-            LargeGangReservation.withoutReserved(gang(1), candidates, candidates).map {
+            LargeGangReservation.withoutReserved(gang(1), candidates, candidates, nowMs = 0).map {
                 it.machine.name
             },
             "no more machines than the gang has tasks",
--- a/src/test/kotlin/flaxfield/golden/OperatorMessages.kt
+++ b/src/test/kotlin/flaxfield/golden/OperatorMessages.kt
@@ -35,7 +35,9 @@
         proto("zones") { zoneResponses.zones() },
         proto("shares") { zoneResponses.shares() },
         proto("explanations") {
-            OperatorSnapshot.jobs.map { JobExplainer(snapshot, OperatorSnapshot.teams).explain(it) }
+            (OperatorSnapshot.jobs + OperatorSnapshot.waitingJobs).map {
+                JobExplainer(snapshot, OperatorSnapshot.teams, StoredSamples.TIME_MS).explain(it)
+            }
         },
     )
 
--- a/src/test/kotlin/flaxfield/golden/OperatorSnapshot.kt
+++ b/src/test/kotlin/flaxfield/golden/OperatorSnapshot.kt
@@ -43,6 +43,13 @@
         Samples.job(spec("job-10")).copy(failedMachines = listOf("host-1", "host-2", "host-3", "host-4"), failureCount = 4),
     )
 
+    /** Jobs that are not part of the snapshot, and wait for an excluded machine and for a zone with enough machines. */
+    val waitingJobs: List<Job> = listOf(
+        Samples.job(spec("job-11").copy(taskResources = Resources(4.0, 0.0, 16.0)))
+            .copy(failedMachines = listOf("host-1"), failureCount = 1, failedAtMs = StoredSamples.TIME_MS - 1_000),
+        Samples.job(spec("job-12", team = "blue").copy(jobKind = JobKind.GANG, taskCount = 20, sameZone = true)),
+    )
+
     private val machines = listOf(
         Samples.machine("host-1", zone = "zone-a"),
         Samples.machine("host-2", zone = "zone-a", preemptible = true).copy(cordon = "drain-1"),
--- a/src/test/kotlin/flaxfield/golden/StoredRecords.kt
+++ b/src/test/kotlin/flaxfield/golden/StoredRecords.kt
@@ -27,6 +27,7 @@
     private val jobs = listOf(
         record("job-head-new", StoredSamples.newJob, JobCodec::encodeHead) { JobCodec.decodeHead(it, VERSION) },
         record("job-head-full", StoredSamples.fullJob, JobCodec::encodeHead) { JobCodec.decodeHead(it, VERSION) },
+        record("job-head-failed", StoredSamples.failedJob, JobCodec::encodeHead) { JobCodec.decodeHead(it, VERSION) },
         record("job-chunk", StoredSamples.chunk, JobCodec::encodeChunk) { JobCodec.decodeChunk(it, VERSION) },
         record("job-chunk-interrupted", StoredSamples.chunkWithInterrupted, JobCodec::encodeChunk) { JobCodec.decodeChunk(it, VERSION) },
         record("job-finished", FinishedJob("job-1", aborted = false, done = 4), JobCodec::encodeFinished) {
--- a/src/test/kotlin/flaxfield/golden/StoredSamples.kt
+++ b/src/test/kotlin/flaxfield/golden/StoredSamples.kt
@@ -62,6 +62,8 @@
         mapOf(0 to JobChunk(3, bits(0), placed(1, 2), VERSION, setOf(2))), VERSION,
     )
 
+    val failedJob = newJob.copy(failedMachines = listOf("host-1"), failureCount = 1, failedAtMs = TIME_MS + 3)
+
     val specsOfAllKinds = listOf(
         plainSpec.copy(jobKind = JobKind.ARRAY, priority = Priority.IDLE),
         plainSpec.copy(jobKind = JobKind.SERVICE, priority = Priority.STANDARD),
--- a/src/test/kotlin/flaxfield/jobs/JobCodecTest.kt
+++ b/src/test/kotlin/flaxfield/jobs/JobCodecTest.kt
@@ -18,7 +18,7 @@
         val job = Samples.job(spec, atMs = 77)
             .on(0 to "host-1", 3 to "host-2")
             .finish(listOf(3))
-            .copy(failedMachines = listOf("host-9"), failureCount = 2)
+            .copy(failedMachines = listOf("host-9"), failureCount = 2, failedAtMs = 78)
         val read = JobCodec.decodeHead(Cbor.decode(Cbor.encode(JobCodec.encodeHead(job))), job.version)
         assertEquals(job.copy(chunks = emptyMap()), read.copy(chunks = emptyMap()))
         assertEquals(job.chunk(0).placed, read.chunk(0).placed)
--- a/src/test/kotlin/flaxfield/jobs/JobTransactionsTest.kt
+++ b/src/test/kotlin/flaxfield/jobs/JobTransactionsTest.kt
@@ -18,7 +18,12 @@
             val limits = StateLimits(150.0, 30.0, valueKb, 24)
             val size = JobTransactions.tasksPerChunk(limits)
             val spec = Samples.spec(id = "job-" + "9".repeat(18), taskCount = 100_000)
-            val job = Samples.job(spec, chunkTasks = size).copy(failedMachines = List(8) { "host-00000$it" })
+            val job = Samples.job(spec, chunkTasks = size).copy(
+                failedMachines = List(8) {
+                    "host-00000$it"
+                },
+                failedAtMs = 1_700_000_000_000,
+            )
             val targets = (0 until size * 40).associateWith { Job.Target("host-%06d".format(it), 9uL) }
             val full = (1..40).fold(job.place(targets)) { placed, _ -> placed.place(emptyMap()) }
             // With every other task completed there are the most ranges. The largest transaction must fit as well.
--- a/src/test/kotlin/flaxfield/jobs/TaskEventRulesTest.kt
+++ b/src/test/kotlin/flaxfield/jobs/TaskEventRulesTest.kt
@@ -46,5 +46,7 @@
         }
         assertEquals(listOf<Long>(0, 100, 200, 400, 800, 1600, 3200, 3200, 3200), delaysMs)
         assertEquals(8, job.failedMachines.size)
+        assertEquals(job.failedMachines.toSet(), job.excludedMachines(1_000 + Job.MACHINE_EXCLUSION_MS - 1))
+        assertEquals(emptySet<String>(), job.excludedMachines(1_000 + Job.MACHINE_EXCLUSION_MS))
     }
 }
--- a/src/test/kotlin/flaxfield/sim/InvariantChecker.kt
+++ b/src/test/kotlin/flaxfield/sim/InvariantChecker.kt
@@ -28,6 +28,7 @@
     private val answeredAt = HashMap<String, Double>()
     private val firstStartAt = HashMap<String, Double>()
     private val waitingSince = HashMap<String, Double>()
+    private val unprovisionedSince = HashMap<String, Double>()
 
     /** The number of task starts. */
     var starts = 0
@@ -171,7 +172,22 @@
      * Checks that no job waits for long while it fits healthy machines and the GPU limit of its team. Holds only
      * without faults.
      */
-    fun checkWaiting(nowS: Double, machines: List<HealthyMachine>) {
+    fun checkWaiting(nowS: Double, machines: List<HealthyMachine>) = checkWaiting(nowS, machines, "waits", waitingSince, MAX_WAIT_S)
+
+    /**
+     * Checks that an accepted job runs: it begins within four minutes if it fits the healthy machines together with those
+     * that the cloud could still rent, and the GPU limit of its team. Holds only without faults.
+     */
+    fun checkProvisioning(nowS: Double, healthy: List<HealthyMachine>, rentable: List<HealthyMachine>) =
+        checkWaiting(nowS, healthy + rentable, "not_provisioned", unprovisionedSince, MAX_LARGEST_JOB_WAIT_S)
+
+    private fun checkWaiting(
+        nowS: Double,
+        machines: List<HealthyMachine>,
+        invariant: String,
+        waitingSince: MutableMap<String, Double>,
+        maxWaitS: Double,
+    ) {
         val runningJobs = running.keys.mapTo(HashSet()) { it.jobId }
         for (id in acceptedAt.keys) {
             val spec = specs[id] ?: continue
@@ -181,8 +197,8 @@
                 continue
             }
             val since = waitingSince.getOrPut(id) { nowS }
-            if (nowS - since <= MAX_WAIT_S) continue
-            violated("waits", "$id of ${spec.team} waiting since t=$since s; team uses ${gpusInUse(spec.team)} GPUs")
+            if (nowS - since <= maxWaitS) continue
+            violated(invariant, "$id of ${spec.team} waiting since t=$since s; team uses ${gpusInUse(spec.team)} GPUs")
             waitingSince[id] = nowS
         }
     }
--- a/src/test/kotlin/flaxfield/sim/InvariantCheckerTest.kt
+++ b/src/test/kotlin/flaxfield/sim/InvariantCheckerTest.kt
@@ -1,6 +1,7 @@
 package flaxfield.sim
 
 import flaxfield.Samples
+import flaxfield.jobs.JobKind
 import flaxfield.jobs.Resources
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
@@ -103,6 +104,21 @@
                 jobAnswered("job-1", "aborted", 1.0, before = "running")
                 jobAnswered("job-1", "running", 1.1, before = "aborted")
             },
+            "not_provisioned" to {
+                jobAnswered("job-1", "pending", 0.0)
+                val machine = listOf(HealthyMachine(zoneAMachine, Resources(4.0, 1.0, 16.0)))
+                for (second in 0..250) checkProvisioning(second.toDouble(), machine, machine)
+            },
+            // The job is bound to one zone, and no zone has enough machines.
+            null to {
+                jobAnswered("job-1", "pending", 0.0)
+                val resources = Resources(4.0, 1.0, 16.0)
+                submitted(Samples.spec(id = "job-1", jobKind = JobKind.GANG, taskCount = 2, preemptible = false, sameZone = true))
+                for (second in 0..250) {
+                    val healthy = listOf(HealthyMachine(zoneAMachine, resources))
+                    checkProvisioning(second.toDouble(), healthy, listOf(HealthyMachine(zoneBMachine, resources)))
+                }
+            },
             "waits" to { waitsDespiteFree(Resources(8.0, 2.0, 32.0)) },
             null to { waitsDespiteFree(Resources(1.0, 0.0, 4.0)) },
             // The team is at its limit.
--- /dev/null
+++ b/src/test/kotlin/flaxfield/sim/QuietEndTest.kt
@@ -0,0 +1,120 @@
+package flaxfield.sim
+
+import flaxfield.Samples
+import flaxfield.jobs.JobSpec
+import flaxfield.jobs.Resources
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import org.junit.jupiter.params.provider.ValueSource
+
+/**
+ * Runs a few jobs through one short fault, after which nothing else happens: no job arrives or ends that could free a
+ * machine by chance. Every accepted job must run nevertheless.
+ */
+class QuietEndTest {
+    /** One simulation: the jobs submitted so far, and the completions of tasks. */
+    private class Scenario(seed: Int) {
+        val cluster = SimCluster(seed)
+        val schedule = FaultSchedule(cluster.loop)
+        private val users = ArrayList<SimUser>()
+        private var onFirstCompletion: (() -> Unit)? = null
+
+        init {
+            for (i in 0..2) cluster.boot(i)
+            cluster.invariants.watcher = object : TaskWatcher {
+                override fun onRunning(spec: JobSpec, index: Int) = Unit
+
+                override fun onHalting(spec: JobSpec, index: Int, gracePeriodS: Double) = Unit
+
+                override fun onRemoved(spec: JobSpec, index: Int) = Unit
+
+                override fun onCompleted(spec: JobSpec, index: Int) {
+                    onFirstCompletion?.invoke()
+                    onFirstCompletion = null
+                }
+            }
+        }
+
+        fun submit(spec: JobSpec) = SimUser(cluster, cluster.job(spec)).also { users += it }.submit()
+
+        /** Calls [action] when the first task of any job completes. */
+        fun atFirstCompletion(action: () -> Unit) {
+            onFirstCompletion = action
+        }
+
+        /** Makes every task that starts on [workers] within the next [durationS] fail. */
+        fun failTasks(workers: List<SimWorker>, durationS: Double) = schedule.during(0.0, durationS) { fails ->
+            for (worker in workers) worker.failsTasks = fails
+        }
+
+        fun limitCapacity(machines: (zone: String, preemptible: Boolean) -> Int) {
+            for (zone in listOf("a", "b")) {
+                for (preemptible in listOf(true, false)) {
+                    cluster.cloud.limitCapacity(zone, preemptible, machines(zone, preemptible))
+                }
+            }
+        }
+
+        /** Runs to the end, and returns the jobs that are not done. */
+        fun unfinishedJobs(): List<String> {
+            cluster.checkInvariantsPeriodically(FAULTS_END_S)
+            cluster.loop.runUntil(END_S)
+            assertEquals(emptyList<String>(), cluster.invariants.violations)
+            return users.map { it.spec.id }.filter { cluster.invariants.reportedPhase(it) != "done" }
+        }
+    }
+
+    private fun array(id: String, tasks: Int) = Samples.spec(id, taskCount = tasks, taskResources = Resources(1.0, 0.25, 4.0))
+        .copy(expectedRuntimeS = 12.0, checkpointDurationS = 1.0)
+
+    /** Guards against review case 1: the job excluded the machine for ever, and the fleet counted its room. */
+    @ParameterizedTest
+    @CsvSource("1, false", "2, false", "3, true", "4, true")
+    fun `a job that failed on a machine that was faulty for seconds starts again`(seed: Int, leaderFails: Boolean) {
+        val scenario = Scenario(seed)
+        val cluster = scenario.cluster
+        // The older tasks end one after the other. Those that complete after the failure show nothing about new tasks.
+        scenario.schedule.at(5.0) { scenario.submit(array("job-1", tasks = OLDER_TASKS)) }
+        for (index in 0 until OLDER_TASKS) {
+            cluster.invariants.checkpointedRemainingS[TaskKey("job-1", index)] = 6.0 + index * OLDER_TASK_INTERVAL_S
+        }
+        scenario.atFirstCompletion {
+            scenario.failTasks(cluster.cloud.workers.values.toList(), durationS = 5.0)
+            scenario.submit(array("job-0", tasks = 1))
+            if (leaderFails) scenario.schedule.at(8.0) { cluster.kill(cluster.leader, 1.0) }
+        }
+        assertEquals(emptyList<String>(), scenario.unfinishedJobs())
+        assertTrue(cluster.cloud.machinesRented <= MAX_MACHINES_AFTER_ONE_FAILURE, "${cluster.cloud.machinesRented} rented")
+    }
+
+    /** Guards against the cause of review case 1 in a fleet that can't grow: the job failed on all of its machines. */
+    @ParameterizedTest
+    @ValueSource(ints = [5, 6, 7])
+    fun `a job that failed on all machines of a full fleet starts again`(seed: Int) {
+        val scenario = Scenario(seed)
+        val cluster = scenario.cluster
+        scenario.limitCapacity { _, preemptible -> if (preemptible) 1 else 0 }
+        // Its two tasks keep both machines rented. Nothing else frees or adds a machine.
+        val taskResources = Resources(10.0, 3.0, 40.0)
+        val longJob = Samples.spec("job-1", taskCount = 2, taskResources = taskResources).copy(expectedRuntimeS = 2 * END_S)
+        scenario.schedule.at(5.0) { scenario.submit(longJob) }
+        scenario.schedule.at(20.0) {
+            scenario.failTasks(cluster.cloud.workers.values.toList(), durationS = 10.0)
+            scenario.submit(array("job-0", tasks = 1))
+        }
+        assertEquals(listOf("job-1"), scenario.unfinishedJobs())
+    }
+
+    private companion object {
+        /** The time by which the fault of each scenario has ended. */
+        const val FAULTS_END_S = 35.0
+        const val END_S = 300.0
+        const val OLDER_TASKS = 12
+        const val OLDER_TASK_INTERVAL_S = 0.3
+
+        /** The machine that was faulty, and one in its place. */
+        const val MAX_MACHINES_AFTER_ONE_FAILURE = 2
+    }
+}
--- a/src/test/kotlin/flaxfield/sim/SimCloud.kt
+++ b/src/test/kotlin/flaxfield/sim/SimCloud.kt
@@ -25,7 +25,7 @@
     val workers = LinkedHashMap<String, SimWorker>()
     private val machineTypes = listOf(
         mapOf(
-            "label" to "big",
+            "label" to MACHINE_TYPE,
             "vcpus" to MACHINE_RESOURCES.cpus,
             "accelerators" to MACHINE_RESOURCES.gpus,
             "ram_gb" to MACHINE_RESOURCES.memoryGb,
@@ -42,6 +42,9 @@
     private val rentals = HashMap<String, List<String>>()
     private val snapshots = ArrayList<Snapshot>()
 
+    /** The reduced capacities by zone, and by whether the machines are preemptible. */
+    private val limits = HashMap<Pair<String, Boolean>, Int>()
+
     /** The number of machines rented so far. */
     var machinesRented = 0
         private set
@@ -67,6 +70,25 @@
     /** Returns the machines that are up and healthy. */
     fun healthyMachines(): List<HealthyMachine> = workers.values.mapNotNull { it.healthyMachine() }
 
+    /** Returns the machines that could still be rented, as if they were up. */
+    fun rentableMachines(): List<HealthyMachine> = capacity.keys.flatMap { zone ->
+        listOf(true, false).flatMap { preemptible ->
+            val machine = SimMachine("", MACHINE_TYPE, zone, preemptible)
+            List(maxOf(0, availableMachines(machine))) { HealthyMachine(machine, MACHINE_RESOURCES) }
+        }
+    }
+
+    /** Limits the machines of a zone and kind to [machines] from now on; those that are rented already stay. */
+    fun limitCapacity(zone: String, preemptible: Boolean, machines: Int) {
+        limits[zone to preemptible] = machines
+    }
+
+    private fun availableMachines(machineSpec: SimMachine): Int {
+        val rentedCount = workers.values.count { it.machine.copy(machineName = "") == machineSpec }
+        val limit = limits[machineSpec.zone to machineSpec.preemptible] ?: capacity[machineSpec.zone] ?: 0
+        return limit - rentedCount
+    }
+
     fun serve(method: String, target: String, body: ByteArray, answer: (Response) -> Unit) {
         requestCount++
         if (!requestRate.tryTake(1)) {
@@ -93,8 +115,7 @@
             request.requireText("site"),
             request.requireBoolean("lendable"),
         )
-        val rentedCount = workers.values.count { it.machine.copy(machineName = "") == machineSpec }
-        val count = minOf(request.requireInt("how_many"), (capacity[machineSpec.zone] ?: 0) - rentedCount)
+        val count = minOf(request.requireInt("how_many"), availableMachines(machineSpec))
         if (count <= 0) return response(UNAVAILABLE, mapOf("error" to "no capacity"))
         val names = (0 until count).map { "host-%06d".format(machinesRented++) }
         for (name in names) boot(machineSpec.copy(machineName = name))
@@ -137,6 +158,7 @@
     private fun response(status: Int, body: Map<String, Any?>) = Response(status, Cbor.encode(body))
 
     companion object {
+        private const val MACHINE_TYPE = "big"
         private const val MAX_SNAPSHOTS = 500
 
         /** The rate limit of the cloud, in requests per second. */
--- a/src/test/kotlin/flaxfield/sim/SimCluster.kt
+++ b/src/test/kotlin/flaxfield/sim/SimCluster.kt
@@ -144,7 +144,9 @@
         invariants.checkCancelled(loop.nowS)
         if (loop.nowS > faultsEndS) {
             invariants.checkAnswered(loop.nowS)
-            invariants.checkWaiting(loop.nowS, cloud.healthyMachines())
+            val healthyMachines = cloud.healthyMachines()
+            invariants.checkWaiting(loop.nowS, healthyMachines)
+            invariants.checkProvisioning(loop.nowS, healthyMachines, cloud.rentableMachines())
         }
         loop.after(CHECK_INTERVAL_NS) { checkInvariantsPeriodically(faultsEndS) }
     }
--- a/src/test/kotlin/flaxfield/sim/SimTask.kt
+++ b/src/test/kotlin/flaxfield/sim/SimTask.kt
@@ -44,6 +44,9 @@
     var state = SimTaskState.PULLING
     var endReason: SimTaskEndReason? = null
 
+    /** Whether the task fails, as its machine was faulty when it started, or its job is. */
+    var fails = false
+
     /** Time until the current [state] ends by itself, in seconds. */
     var remainingS = 0.0
 
--- a/src/test/kotlin/flaxfield/sim/SimTaskRunner.kt
+++ b/src/test/kotlin/flaxfield/sim/SimTaskRunner.kt
@@ -34,8 +34,8 @@
 
     private fun freeWith(live: List<SimTask>): Resources = live.fold(resources) { free, task -> free - task.spec.taskResources }
 
-    /** Returns the tasks in the wire format of a heartbeat. */
-    fun report(): List<Map<String, Any?>> = tasks.values.map {
+    /** Returns the tasks in the wire format of a heartbeat, ordered by name: the protocol specifies no order. */
+    fun report(): List<Map<String, Any?>> = tasks.values.sortedBy { JobCodec.taskName(it.spec.id, it.index) }.map {
         mapOf(
             "shard" to JobCodec.taskName(it.spec.id, it.index),
             "try" to it.attempt,
@@ -69,35 +69,35 @@
     }
 
     private fun advance(task: SimTask, stepS: Double) {
-        val fails = failsTasks || task.spec.id in invariants.failingJobs
         task.remainingS -= stepS
         when (task.state) {
-            SimTaskState.PULLING -> if (task.remainingS <= 0) start(task, fails)
-            SimTaskState.WAITING_FOR_GANG -> waitForGang(task, fails)
-            SimTaskState.RUNNING -> run(task, fails)
+            SimTaskState.PULLING -> if (task.remainingS <= 0) start(task)
+            SimTaskState.WAITING_FOR_GANG -> waitForGang(task)
+            SimTaskState.RUNNING -> run(task)
             SimTaskState.CHECKPOINTING -> if (task.remainingS <= 0) end(task, SimTaskEndReason.STOPPED)
             SimTaskState.ENDED -> Unit
         }
     }
 
-    private fun start(task: SimTask, fails: Boolean) {
+    private fun start(task: SimTask) {
+        task.fails = failsTasks || task.spec.id in invariants.failingJobs
         invariants.taskStarted(task.spec.id, task.index, machine, loop.nowS)
         onChange()
         // Checkpoints are stored off the machine, so the task resumes from one on any machine.
-        task.remainingS = if (fails) FAILURE_S else invariants.checkpointedRemainingS[task.key] ?: task.spec.expectedRuntimeS
+        task.remainingS = if (task.fails) FAILURE_S else invariants.checkpointedRemainingS[task.key] ?: task.spec.expectedRuntimeS
         if (task.spec.jobKind == JobKind.GANG) {
             task.state = SimTaskState.WAITING_FOR_GANG
             gangs.join(task)
-            if (!fails) task.remainingS = gangWaitS
+            if (!task.fails) task.remainingS = gangWaitS
         } else {
             task.state = SimTaskState.RUNNING
             invariants.watcher?.onRunning(task.spec, task.index)
         }
     }
 
-    private fun waitForGang(task: SimTask, fails: Boolean) {
+    private fun waitForGang(task: SimTask) {
         when {
-            fails && task.remainingS <= 0 -> end(task, SimTaskEndReason.ERROR)
+            task.fails && task.remainingS <= 0 -> end(task, SimTaskEndReason.ERROR)
             gangs.isComplete(task) -> {
                 task.state = SimTaskState.RUNNING
                 invariants.watcher?.onRunning(task.spec, task.index)
@@ -109,12 +109,12 @@
         }
     }
 
-    private fun run(task: SimTask, fails: Boolean) {
+    private fun run(task: SimTask) {
         val isGang = task.spec.jobKind == JobKind.GANG
         when {
             isGang && gangs.lacksMembers(task) && task.remainingS > 0 ->
                 if (gangs.hasCompleted(task)) complete(task) else end(task, SimTaskEndReason.GANG_MEMBER_LOST)
-            task.remainingS <= 0 -> if (fails) end(task, SimTaskEndReason.ERROR) else complete(task)
+            task.remainingS <= 0 -> if (task.fails) end(task, SimTaskEndReason.ERROR) else complete(task)
         }
     }
 
--- a/src/test/kotlin/flaxfield/sim/SimWorker.kt
+++ b/src/test/kotlin/flaxfield/sim/SimWorker.kt
@@ -58,6 +58,9 @@
     /** The time until the cloud terminates the machine, as reported to the controller; null without a notice. */
     var terminationNoticeS: Double? = null
 
+    /** Whether any task on this worker has not ended. */
+    val hasLiveTasks: Boolean by tasks::hasLiveTasks
+
     /** Whether every task that starts on this worker fails. */
     var failsTasks: Boolean by tasks::failsTasks
 
--- a/src/test/kotlin/flaxfield/zones/ZoneScenario.kt
+++ b/src/test/kotlin/flaxfield/zones/ZoneScenario.kt
@@ -111,7 +111,7 @@
     fun waitReasons(jobClass: String): Set<String> {
         val snapshot = snapshot()
         return snapshot.jobs.values.filter { it.spec.jobClass == jobClass }
-            .mapTo(sortedSetOf()) { JobExplainer(snapshot, teams).explain(it).reason }
+            .mapTo(sortedSetOf()) { JobExplainer(snapshot, teams, cluster.loop.wallClockMs()).explain(it).reason }
     }
 
     private val teams = TEAMS.associateWith { Samples.team(it, gpus = 12.0) }
