--- a/src/main/kotlin/flaxfield/arrays/TopologyConstraint.kt
+++ b/src/main/kotlin/flaxfield/arrays/TopologyConstraint.kt
@@ -10,14 +10,20 @@
 class TopologyConstraint(private val spec: JobSpec, placedZones: List<String>) {
     private val tasksByZone = HashMap<String, Int>()
     private val maxTasksInZone = (spec.taskCount + 1) / 2
+    private var requiredZone = spec.zone
 
     init {
         for (zone in placedZones) add(zone)
     }
 
+    /** Restricts all further tasks to [zone]. */
+    fun require(zone: String) {
+        requiredZone = zone
+    }
+
     /** Whether one more task may be placed in [zone]. */
     fun allows(zone: String): Boolean = when {
-        spec.zone != null && spec.zone != zone -> false
+        requiredZone != null && requiredZone != zone -> false
         spec.sameZone && tasksByZone.keys.any { it != zone } -> false
         spec.spreadAcrossZones && (tasksByZone[zone] ?: 0) >= maxTasksInZone -> false
         else -> true
--- a/src/main/kotlin/flaxfield/controller/SchedulingPolicy.kt
+++ b/src/main/kotlin/flaxfield/controller/SchedulingPolicy.kt
@@ -44,6 +44,9 @@
     /** Whether [job] has waited so long that reservations no longer apply to it. */
     fun isStarved(job: Job): Boolean = starvation.isStarved(job, clock.wallClockMs())
 
+    /** Returns for how many seconds [job] has had no task on any machine, as far as this process has seen. */
+    fun waitedS(job: Job): Double = starvation.waitedS(job, clock.wallClockMs())
+
     /**
      * Returns how many more tasks of [job] its team's limit admits on top of [usage]. Arrays leave a part of the limit
      * to the team's gangs. A starved array leaves it only to waiting gangs that were submitted before it, and may
--- a/src/main/kotlin/flaxfield/fleet/CapacityDemand.kt
+++ b/src/main/kotlin/flaxfield/fleet/CapacityDemand.kt
@@ -12,4 +12,6 @@
     val isStarved: Boolean = false,
     /** The existing machines that its tasks may not use, see [flaxfield.jobs.Job.excludedMachines]. */
     val excludedMachines: Set<String> = emptySet(),
+    /** Whether free machines are kept for a gang while the others that it needs can't be rented. */
+    val mayHoldMachines: Boolean = true,
 )
--- a/src/main/kotlin/flaxfield/fleet/CapacityPlanner.kt
+++ b/src/main/kotlin/flaxfield/fleet/CapacityPlanner.kt
@@ -57,6 +57,7 @@
                 isUrgent(job, queueWaitS),
                 context.scheduling.isStarved(job),
                 job.excludedMachines(context.nowMs),
+                mayHoldMachines = context.scheduling.waitedS(job) < JobOrder.START_OBJECTIVE_S,
             )
         }
         return demands
--- a/src/main/kotlin/flaxfield/fleet/ScaleOutPlanner.kt
+++ b/src/main/kotlin/flaxfield/fleet/ScaleOutPlanner.kt
@@ -51,7 +51,9 @@
     private fun pack(limits: ZoneLimits): PackingResult {
         val bins = bins()
         val filter = MachineKindFilter(context.scheduling.reservations::isUnreservedFor)
-        val offers = OfferSelector(context.view.machineTypes, filter, zoneLoad()) { price(it, limits) }
+        val offers = OfferSelector(context.view.machineTypes, filter, zoneLoad(), scaleOut::isRefusedWithin) {
+            price(it, limits)
+        }
         return BinPacker(offers, filter, maxNewMachines()).pack(capacityPlanner.demands(), bins)
     }
 
--- a/src/main/kotlin/flaxfield/fleet/ScaleOutReconciler.kt
+++ b/src/main/kotlin/flaxfield/fleet/ScaleOutReconciler.kt
@@ -41,6 +41,10 @@
     /** Whether the cloud has refused [offer] so recently that its backoff has not expired. */
     fun isRefused(offer: Offer): Boolean = refusedOffers.isRefused(offer, context.nowNs)
 
+    /** Whether the cloud has refused [offer] less than [seconds] ago, and has not granted it in full since then. */
+    fun isRefusedWithin(offer: Offer, seconds: Double): Boolean =
+        refusedOffers.isRefusedWithin(offer, seconds, context.nowNs)
+
     /** Sends each stored rental until its outcome is known, and stores the granted machines. */
     fun run() {
         val rentals = context.view.rentals
--- a/src/main/kotlin/flaxfield/jobs/StarvationTracker.kt
+++ b/src/main/kotlin/flaxfield/jobs/StarvationTracker.kt
@@ -38,10 +38,12 @@
     /** Whether [job] has waited so long that it overrides all reservations; never if it crash-loops. */
     fun isStarved(job: Job, nowMs: Long): Boolean {
         if (job.isCrashLooping || job.placedCount > 0) return false
-        val sinceMs = waitingSinceMs[job.id] ?: return false
-        return nowMs - sinceMs > MAX_WAIT_S * STARVED_SHARE * MILLIS_PER_SECOND
+        return waitedS(job, nowMs) > MAX_WAIT_S * STARVED_SHARE
     }
 
+    /** Returns for how many seconds [job] has waited at [nowMs]; 0 if it is not known to wait. */
+    fun waitedS(job: Job, nowMs: Long): Double = waitingSinceMs[job.id]?.let { (nowMs - it) / MILLIS_PER_SECOND } ?: 0.0
+
     private companion object {
         /** Required by the operators for every deployment. */
         const val MAX_WAIT_S = 90.0
--- a/src/test/kotlin/flaxfield/fleet/BinPackerTest.kt
+++ b/src/test/kotlin/flaxfield/fleet/BinPackerTest.kt
@@ -104,6 +104,22 @@
         assertEquals(mapOf(Offer("big", "b", false) to 2), pack(listOf(CapacityDemand(gang, 4)), bins()).newMachines)
     }
 
+    /** Guards against review case 2: the zone of the idle machines had no further one, and no other zone was asked. */
+    @Test
+    fun `packs a same-zone gang into another zone if its machines can only be rented there`() {
+        val spec = Samples.spec(jobKind = JobKind.GANG, sameZone = true, preemptible = false, taskResources = oneTask * 4)
+        val bins = { listOf("a1", "a2", "a3").map { Bin(it, "big", "a", false, oneTask * 4) } }
+        val refused = setOf(Offer("big", "a", false))
+        val result = pack(listOf(CapacityDemand(spec, 4)), bins(), refused)
+        assertEquals(PackingResult(mapOf(Offer("big", "b", false) to 4), emptySet()), result)
+        // While no zone has machines for all tasks, those of the fullest zone are kept for a limited time.
+        val allRefused = refused + Offer("big", "b", false)
+        val holding = pack(listOf(CapacityDemand(spec, 4)), bins(), allRefused)
+        assertEquals(PackingResult(emptyMap(), setOf("a1", "a2", "a3"), listOf(UnmetDemand("job-1", 1, "a"))), holding)
+        val released = pack(listOf(CapacityDemand(spec, 4, mayHoldMachines = false)), bins(), allRefused)
+        assertEquals(PackingResult(emptyMap(), emptySet(), listOf(UnmetDemand("job-1", 4, "a"))), released)
+    }
+
     @Test
     fun `selects the zone with fewer machines per controller among equal prices`() {
         val load = ZoneLoad { zone, additionalMachines -> (if (zone == "a") 4.0 else 0.0) + additionalMachines }
--- a/src/test/kotlin/flaxfield/sim/FaultInjector.kt
+++ b/src/test/kotlin/flaxfield/sim/FaultInjector.kt
@@ -34,6 +34,8 @@
         "read-storm" to load::multiplyReads,
         "failing-jobs" to load::submitFailingJobs,
         "failing-machine" to workers::failTasksOnOneMachine,
+        "brief-machine-failures" to workers::failTasksBriefly,
+        "exhausted-zone" to workers::exhaustZone,
         "cancellation-before-outage" to cancellations::aroundStoreOutage,
         "long-store-outage" to { connections.storeOutage(45.0, cluster.cancelS * 1.3) },
         "leader-isolation" to connections::isolateLeader,
--- a/src/test/kotlin/flaxfield/sim/QuietEndTest.kt
+++ b/src/test/kotlin/flaxfield/sim/QuietEndTest.kt
@@ -1,6 +1,7 @@
 package flaxfield.sim
 
 import flaxfield.Samples
+import flaxfield.jobs.JobKind
 import flaxfield.jobs.JobSpec
 import flaxfield.jobs.Resources
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -69,6 +70,16 @@
     private fun array(id: String, tasks: Int) = Samples.spec(id, taskCount = tasks, taskResources = Resources(1.0, 0.25, 4.0))
         .copy(expectedRuntimeS = 12.0, checkpointDurationS = 1.0)
 
+    private fun gang(id: String, tasks: Int) = Samples.spec(
+        id,
+        JobKind.GANG,
+        tasks,
+        taskResources = Resources(14.0, 4.0, 50.0),
+        preemptible = false,
+        sameZone = true,
+        team = "blue",
+    ).copy(expectedRuntimeS = 60.0, checkpointDurationS = 1.0)
+
     /** Guards against review case 1: the job excluded the machine for ever, and the fleet counted its room. */
     @ParameterizedTest
     @CsvSource("1, false", "2, false", "3, true", "4, true")
@@ -107,7 +118,51 @@
         assertEquals(listOf("job-1"), scenario.unfinishedJobs())
     }
 
+    /** Guards against review case 2: the fleet asked the zone of the gang's idle machines again and again. */
+    @ParameterizedTest
+    @CsvSource("8, false", "9, false", "10, true")
+    fun `a gang whose zone has no further machine starts in another zone`(seed: Int, leaderFails: Boolean) {
+        val scenario = Scenario(seed)
+        val cluster = scenario.cluster
+        scenario.schedule.at(5.0) { scenario.submit(gang("job-1", tasks = 3)) }
+        scenario.schedule.at(25.0) {
+            val lost = cluster.cloud.workers.values.first { it.hasLiveTasks }
+            cluster.cloud.limitCapacity(lost.machine.zone, preemptible = false, machines = 2)
+            lost.terminate()
+            if (leaderFails) scenario.schedule.at(3.0) { cluster.kill(cluster.leader, 1.0) }
+        }
+        assertEquals(emptyList<String>(), scenario.unfinishedJobs())
+        val zones = cluster.cloud.workers.values.filter { !it.terminated }.groupingBy { it.machine.zone }.eachCount()
+        assertTrue(zones.size <= 1, "the machines that the gang can't use are returned: $zones")
+    }
+
+    /** Guards against machines that stay rented without end for a gang that no zone has enough machines for. */
+    @ParameterizedTest
+    @ValueSource(ints = [11, 12])
+    fun `machines that a gang can't use for want of others are returned, and rarely rented again`(seed: Int) {
+        val scenario = Scenario(seed)
+        val cluster = scenario.cluster
+        scenario.limitCapacity { _, preemptible -> if (preemptible) 0 else 2 }
+        scenario.schedule.at(5.0) { scenario.submit(gang("job-1", tasks = 3)) }
+        assertEquals(listOf("job-1"), scenario.unfinishedJobs())
+        val rentedBefore = cluster.cloud.machinesRented
+        var secondsWithoutMachines = 0
+        repeat(RENEWED_ATTEMPT_S) {
+            cluster.loop.runUntil(cluster.loop.nowS + 1.0)
+            if (cluster.cloud.workers.isEmpty()) secondsWithoutMachines++
+        }
+        val rented = cluster.cloud.machinesRented - rentedBefore
+        assertTrue(secondsWithoutMachines > RENEWED_ATTEMPT_S / 2, "$secondsWithoutMachines s without machines")
+        assertTrue(rented <= MAX_RENTED_PER_ATTEMPT, "$rented machines rented")
+    }
+
     private companion object {
+        /** The time after a refusal until machines are rented again for a gang that holds none. */
+        const val RENEWED_ATTEMPT_S = 300
+
+        /** The two machines that each of the two zones has. */
+        const val MAX_RENTED_PER_ATTEMPT = 4
+
         /** The time by which the fault of each scenario has ended. */
         const val FAULTS_END_S = 35.0
         const val END_S = 300.0
--- a/src/test/kotlin/flaxfield/sim/SimulationTest.kt
+++ b/src/test/kotlin/flaxfield/sim/SimulationTest.kt
@@ -59,6 +59,10 @@
         "36, boot-faults+controller-pauses+full-controller-restart",
         "37, read-storm+link-partitions",
         "38, read-storm+failing-jobs+controller-pauses+lost-store-responses",
+        // These failed while a gang was bound to the zone of its idle machines (review case 2).
+        "1051, exhausted-zone+machine-losses",
+        "1070, brief-machine-failures+exhausted-zone+machine-losses",
+        "1103, brief-machine-failures+exhausted-zone+machine-losses",
     )
     fun `invariants hold and every job finishes under faults`(seed: Int, faults: String) {
         val cluster = SimCluster(seed)
--- a/src/test/kotlin/flaxfield/sim/WorkerFaults.kt
+++ b/src/test/kotlin/flaxfield/sim/WorkerFaults.kt
@@ -45,6 +45,22 @@
 
     fun bootFast() = schedule.during(3.0, 100.0) { cloud.bootFactor = if (it) 0.02 else 1.0 }
 
+    /** Makes every task that starts on some machine fail, for a few seconds at a time. */
+    fun failTasksBriefly() {
+        for (n in 0 until 5) {
+            schedule.at(22.0 + 17 * n) {
+                val worker = randomWorker() ?: return@at
+                worker.failsTasks = true
+                schedule.at(2.0 + 2 * n) { worker.failsTasks = false }
+            }
+        }
+    }
+
+    /** Leaves one machine of each kind in one zone. It stays so until the end of the simulation. */
+    fun exhaustZone() = schedule.at(30.0) {
+        for (preemptible in listOf(true, false)) cloud.limitCapacity("a", preemptible, machines = 1)
+    }
+
     /** Makes every task that starts on the first machine fail. */
     fun failTasksOnOneMachine() = schedule.at(22.0) { cloud.workers.values.firstOrNull()?.failsTasks = true }
 }
