The capacity plan counts only room that the schedulers grant: zones, kinds, task slots

Cause: the plan ignored the zones of an array's placed tasks, the rule that keeps jobs of classes without an objective from on-demand machines (for up to 480 s), and the number of tasks that a machine can report. It counted such room for a job and rented nothing, while the scheduler refused it.

Change: TopologyConstraint.placedZones, SchedulingPolicy.mayUseOnDemand and MAX_TASKS_PER_MACHINE are used by the schedulers and by the plan.

--- a/src/main/kotlin/flaxfield/arrays/ArrayCandidates.kt
+++ b/src/main/kotlin/flaxfield/arrays/ArrayCandidates.kt
@@ -1,10 +1,8 @@
 package flaxfield.arrays
 
-import flaxfield.MILLIS_PER_SECOND
 import flaxfield.NANOS_PER_SECOND
 import flaxfield.controller.ControllerContext
 import flaxfield.fleet.Machine
-import flaxfield.fleet.OnDemandUrgency
 import flaxfield.jobs.Job
 import flaxfield.jobs.Resources
 import flaxfield.store.StoreKeys
@@ -72,21 +70,9 @@
                 reservations.mayBackfill(job.spec, machine.machineType, machine.preemptible) &&
                 machine.machineType !in typesClaimedByGangs()
         }
-        return machine.preemptible || !job.spec.preemptible || mayUseOnDemand(job)
+        return machine.preemptible || context.scheduling.mayUseOnDemand(job, hasSpotMachines)
     }
 
-    /**
-     * Whether [job], which may run on spot machines, may use an on-demand machine. Without this rule jobs of classes
-     * without an objective keep on-demand machines in use that were scaled out for a burst.
-     */
-    private fun mayUseOnDemand(job: Job): Boolean = !hasSpotMachines ||
-        context.scheduling.hasObjective(job.spec.jobClass) ||
-        context.scheduling.isStarved(job) ||
-        OnDemandUrgency.isOverdueWithoutObjective(
-            (context.nowMs - job.submittedMs) / MILLIS_PER_SECOND,
-            hasStarted = job.placedCount + job.doneCount > 0,
-        )
-
     /** Returns the types whose on-demand machines will all be taken by waiting gangs. Recomputed periodically. */
     private fun typesClaimedByGangs(): Set<String> {
         if (context.nowNs < nextClaimedTypesNs) return claimedTypes
--- a/src/main/kotlin/flaxfield/arrays/ArrayTaskPlacer.kt
+++ b/src/main/kotlin/flaxfield/arrays/ArrayTaskPlacer.kt
@@ -54,17 +54,12 @@
             MAX_MACHINES_PER_PLACEMENT,
             JobTransactions.maxChunks(context.settings.stateLimits),
         )
-        val topology = TopologyConstraint(job.spec, placedZones(job))
+        val topology = TopologyConstraint(job.spec, TopologyConstraint.placedZones(job, context.view.machines))
         return ArrayPlacement.place(job, candidates, topology, turns.firstTask(job), limits, context.nowMs) {
             !context.transactions.isWritePending(StoreKeys.chunk(job.id, it))
         }
     }
 
-    private fun placedZones(job: Job): List<String> {
-        if (!job.spec.sameZone && !job.spec.spreadAcrossZones) return emptyList()
-        return job.allPlaced().map { context.view.machines[it.machineName]?.zone.orEmpty() }.toList()
-    }
-
     private fun maxConcurrentTasks(job: Job): Int = if (job.isCrashLooping) {
         MAX_SUSPECT_TASKS
     } else {
--- a/src/main/kotlin/flaxfield/arrays/TopologyConstraint.kt
+++ b/src/main/kotlin/flaxfield/arrays/TopologyConstraint.kt
@@ -1,6 +1,7 @@
 package flaxfield.arrays
 
 import flaxfield.fleet.Machine
+import flaxfield.jobs.Job
 import flaxfield.jobs.JobSpec
 
 /**
@@ -35,6 +36,14 @@
     }
 
     companion object {
+        /**
+         * Returns the zones of the placed tasks of [job], one entry per task, as far as they constrain its other tasks.
+         */
+        fun placedZones(job: Job, machines: Map<String, Machine>): List<String> {
+            if (!job.spec.sameZone && !job.spec.spreadAcrossZones) return emptyList()
+            return job.allPlaced().map { machines[it.machineName]?.zone.orEmpty() }.toList()
+        }
+
         /** Whether machines of this type, zone and kind may run tasks of [spec], regardless of free resources. */
         fun allowsMachineKind(spec: JobSpec, machineType: String, zone: String, preemptible: Boolean): Boolean =
             (spec.machineTypes == null || machineType in spec.machineTypes) &&
--- a/src/main/kotlin/flaxfield/controller/SchedulingPolicy.kt
+++ b/src/main/kotlin/flaxfield/controller/SchedulingPolicy.kt
@@ -1,7 +1,9 @@
 package flaxfield.controller
 
+import flaxfield.MILLIS_PER_SECOND
 import flaxfield.NANOS_PER_SECOND
 import flaxfield.arrays.GangCapacityReservation
+import flaxfield.fleet.OnDemandUrgency
 import flaxfield.jobs.Job
 import flaxfield.jobs.StarvationTracker
 import flaxfield.quota.JobOrder
@@ -76,6 +78,20 @@
             ?: JobOrder.sort(jobs, guaranteed(), usage, overdueBeforeMs, ::hasObjective)
     }
 
+    /**
+     * Whether [job] may use existing on-demand machines. A job that may run on spot machines may not if there are any,
+     * unless its class has an objective or it has waited for long. Without this rule, classes without an objective keep
+     * on-demand machines in use that were scaled out for a burst.
+     */
+    fun mayUseOnDemand(job: Job, hasSpotMachines: Boolean): Boolean = !job.spec.preemptible ||
+        !hasSpotMachines ||
+        hasObjective(job.spec.jobClass) ||
+        isStarved(job) ||
+        OnDemandUrgency.isOverdueWithoutObjective(
+            (clock.wallClockMs() - job.submittedMs) / MILLIS_PER_SECOND,
+            hasStarted = job.placedCount + job.doneCount > 0,
+        )
+
     /** Whether the settings define a service-level objective for [jobClass]. */
     fun hasObjective(jobClass: String): Boolean = jobClass in classesWithObjective
 
--- a/src/main/kotlin/flaxfield/fleet/BinPacker.kt
+++ b/src/main/kotlin/flaxfield/fleet/BinPacker.kt
@@ -2,6 +2,7 @@
 
 import flaxfield.arrays.TopologyConstraint
 import flaxfield.jobs.Resources
+import flaxfield.workers.HeartbeatReconciler
 
 /** The free resources of a machine that exists ([machineName] is set) or has been requested. */
 class Bin(
@@ -10,7 +11,12 @@
     val zone: String,
     val preemptible: Boolean,
     var free: Resources,
-)
+    /** The number of further tasks that the machine's heartbeat can report. */
+    var taskSlots: Int = HeartbeatReconciler.MAX_TASKS_PER_MACHINE,
+) {
+    /** Returns how many more tasks that request [resources] each fit. */
+    fun countFitting(resources: Resources): Int = minOf(taskSlots, free.countFitting(resources))
+}
 
 /** The [tasks] of a demand for which neither a bin nor an offer was found, in [zone] if the demand was bound to it. */
 data class UnmetDemand(val job: String, val tasks: Int, val zone: String?)
@@ -61,6 +67,8 @@
         TopologyConstraint.allowsMachineKind(demand.spec, bin.machineType, bin.zone, bin.preemptible) &&
             bin.machineName !in demand.excludedMachines &&
             (demand.isStarved && bin.machineName != null || filter(demand.spec, bin.machineType, bin.preemptible)) &&
+            (bin.preemptible || demand.mayUseOnDemand) &&
+            bin.taskSlots > 0 &&
             bin.free.canHold(demand.spec.taskResources) &&
             topology.allows(bin.zone)
 }
--- a/src/main/kotlin/flaxfield/fleet/CapacityDemand.kt
+++ b/src/main/kotlin/flaxfield/fleet/CapacityDemand.kt
@@ -14,4 +14,8 @@
     val excludedMachines: Set<String> = emptySet(),
     /** Whether free machines are kept for a gang while the others that it needs can't be rented. */
     val mayHoldMachines: Boolean = true,
+    /** Whether it may use existing on-demand machines. */
+    val mayUseOnDemand: Boolean = true,
+    /** The zones of the job's placed tasks that constrain the others, one entry per task. */
+    val placedZones: List<String> = emptyList(),
 )
--- a/src/main/kotlin/flaxfield/fleet/CapacityPlanner.kt
+++ b/src/main/kotlin/flaxfield/fleet/CapacityPlanner.kt
@@ -39,6 +39,7 @@
         val usage = context.scheduling.teamUsage()
         val waiting = waitingJobs()
         val spotCompletionsPerS = spotCompletionsPerS()
+        val hasSpotMachines = context.view.machines.values.any { it.preemptible }
         var queuedSpotTasks = 0
         val overdueBeforeMs = JobOrder.overdueBeforeMs(context.nowMs)
         val ordered = context.scheduling.schedulingOrder(waiting, usage)
@@ -51,18 +52,23 @@
             usage.add(job.spec.team, job.spec.taskResources * tasks)
             if (!job.isGang && job.spec.preemptible) queuedSpotTasks += tasks
             val queueWaitS = if (spotCompletionsPerS > 0.0) queuedSpotTasks / spotCompletionsPerS else Double.MAX_VALUE
-            demands += CapacityDemand(
-                job.spec,
-                tasks,
-                isUrgent(job, queueWaitS),
-                context.scheduling.isStarved(job),
-                job.excludedMachines(context.nowMs),
-                mayHoldMachines = context.scheduling.waitedS(job) < JobOrder.START_OBJECTIVE_S,
-            )
+            demands += demand(job, tasks, isUrgent(job, queueWaitS), hasSpotMachines)
         }
         return demands
     }
 
+    /** Returns the demand of [job] under the rules that the schedulers apply to it as well. */
+    private fun demand(job: Job, tasks: Int, isUrgent: Boolean, hasSpotMachines: Boolean) = CapacityDemand(
+        job.spec,
+        tasks,
+        isUrgent,
+        context.scheduling.isStarved(job),
+        job.excludedMachines(context.nowMs),
+        mayHoldMachines = context.scheduling.waitedS(job) < JobOrder.START_OBJECTIVE_S,
+        mayUseOnDemand = context.scheduling.mayUseOnDemand(job, hasSpotMachines),
+        placedZones = TopologyConstraint.placedZones(job, context.view.machines),
+    )
+
     /** Returns the jobs with pending tasks that may start now and that have no machines reserved yet. */
     private fun waitingJobs(): List<Job> {
         val view = context.view
--- a/src/main/kotlin/flaxfield/fleet/DemandMerger.kt
+++ b/src/main/kotlin/flaxfield/fleet/DemandMerger.kt
@@ -22,6 +22,7 @@
         val isUrgent: Boolean,
         val isStarved: Boolean,
         val excludedMachines: Set<String>,
+        val mayUseOnDemand: Boolean,
     )
 
     /** Returns [demands] with the small ones merged; each result takes the position of the first of its parts. */
@@ -53,6 +54,7 @@
             demand.isUrgent,
             demand.isStarved,
             demand.excludedMachines,
+            demand.mayUseOnDemand,
         )
     }
 
--- a/src/main/kotlin/flaxfield/fleet/PackingRun.kt
+++ b/src/main/kotlin/flaxfield/fleet/PackingRun.kt
@@ -21,9 +21,9 @@
     /** Returns the result of all placements so far. */
     fun result() = PackingResult(newMachines, usedMachines, unmet)
 
-    /** Discards the bins that can't hold [smallestRequest]. */
+    /** Discards the bins that can't hold a task of [smallestRequest]. */
     fun closeBins(smallestRequest: Resources) {
-        openBins.removeIf { !it.free.canHold(smallestRequest) }
+        openBins.removeIf { it.taskSlots <= 0 || !it.free.canHold(smallestRequest) }
     }
 
     /** Places the tasks of [demand] into open bins, and adds machines for the rest. */
@@ -34,7 +34,7 @@
             unmet += UnmetDemand(demand.spec.id, demand.tasks, choice.zone)
             return
         }
-        val topology = TopologyConstraint(demand.spec, emptyList())
+        val topology = TopologyConstraint(demand.spec, demand.placedZones)
         choice.zone?.let(topology::require)
         val unplaced = placeTasks(demand, topology)
         if (unplaced > 0 && newMachineCount < maxNewMachines) {
@@ -53,8 +53,9 @@
             val bin = openBins[index]
             // With a spread constraint, each placed task may change the zones allowed for the next one.
             val maxTasks = if (spec.spreadAcrossZones) 1 else remaining
-            val placed = minOf(maxTasks, bin.free.countFitting(spec.taskResources))
+            val placed = minOf(maxTasks, bin.countFitting(spec.taskResources))
             bin.free -= spec.taskResources * placed
+            bin.taskSlots -= placed
             bin.machineName?.let(usedMachines::add)
             topology.add(bin.zone)
             remaining -= placed
--- a/src/main/kotlin/flaxfield/fleet/ScaleOutPlanner.kt
+++ b/src/main/kotlin/flaxfield/fleet/ScaleOutPlanner.kt
@@ -4,6 +4,7 @@
 import flaxfield.controller.ControllerContext
 import flaxfield.jobs.Job
 import flaxfield.jobs.Resources
+import flaxfield.workers.HeartbeatReconciler
 
 /**
  * Plans which machines to rent: packs the demand into existing and requested machines, requests the missing ones, and
@@ -104,7 +105,8 @@
         if (!machine.isSchedulable || context.view.activeReservation(machine) != null) return null
         if (context.zones?.isReachable(machine) == false || !isUpOrBooting(machine)) return null
         val free = freeWithoutBackfill(machine) ?: return null
-        return Bin(machine.name, machine.machineType, machine.zone, machine.preemptible, free)
+        val taskSlots = HeartbeatReconciler.MAX_TASKS_PER_MACHINE - context.view.taskCountOn(machine.name)
+        return Bin(machine.name, machine.machineType, machine.zone, machine.preemptible, free, taskSlots)
     }
 
     /** Whether [machine] is up or still booting; a machine with an overdue boot is replaced. */
--- a/src/main/kotlin/flaxfield/fleet/ZoneSelector.kt
+++ b/src/main/kotlin/flaxfield/fleet/ZoneSelector.kt
@@ -14,7 +14,7 @@
      * there would cost a second set of machines. [planned] are the machines that the plan adds already.
      */
     fun select(demand: CapacityDemand, bins: List<Bin>, planned: Map<Offer, Int>): ZoneChoice {
-        val topology = TopologyConstraint(demand.spec, emptyList())
+        val topology = TopologyConstraint(demand.spec, demand.placedZones)
         if (!demand.spec.sameZone || demand.tasks == 1) {
             // Only gangs that hold no machines any more need to know whether machines for all tasks can be found.
             val isSufficient = demand.mayHoldMachines ||
@@ -44,7 +44,7 @@
         val tasksByZone = TreeMap<String, Int>()
         for (bin in bins) {
             if (!filter.accepts(bin, demand, topology)) continue
-            val tasks = minOf(demand.tasks, bin.free.countFitting(demand.spec.taskResources))
+            val tasks = minOf(demand.tasks, bin.countFitting(demand.spec.taskResources))
             tasksByZone.merge(bin.zone, tasks, Int::plus)
         }
         return tasksByZone
@@ -62,7 +62,7 @@
         refusalMemoryS: Double,
     ): Boolean {
         if (tasks >= demand.tasks) return true
-        val topology = TopologyConstraint(demand.spec, emptyList())
+        val topology = TopologyConstraint(demand.spec, demand.placedZones)
         topology.require(zone)
         return canRent(demand, demand.tasks - tasks, topology, planned, refusalMemoryS)
     }
--- a/src/test/kotlin/flaxfield/fleet/BinPackerTest.kt
+++ b/src/test/kotlin/flaxfield/fleet/BinPackerTest.kt
@@ -68,12 +68,22 @@
         assertEquals(setOf("h2"), spotOnly.usedMachines)
     }
 
-    /** Guards against review case 1: room on a machine that the job excludes was counted, and no other was rented. */
+    /** Guards against review case 1: room that the schedulers do not grant was counted, and no machine was rented. */
     @Test
-    fun `rents a machine for a demand that excludes the existing ones`() {
-        val demand = CapacityDemand(Samples.spec(zone = "a"), 1, excludedMachines = setOf("h1"))
-        val result = pack(listOf(demand), listOf(Bin("h1", "big", "a", true, oneTask)))
-        assertEquals(PackingResult(mapOf(Offer("small", "a", true) to 1), emptySet()), result)
+    fun `rents a machine for a demand that the schedulers do not admit to the existing ones`() {
+        val onDemand = { Bin("h1", "big", "a", false, oneTask) }
+        val sameZone = Samples.spec(sameZone = true, taskCount = 2)
+        val rows = listOf(
+            CapacityDemand(Samples.spec(zone = "b"), 1, excludedMachines = setOf("h1")) to Bin("h1", "big", "b", true, oneTask),
+            CapacityDemand(Samples.spec(zone = "b"), 1) to Bin("h1", "big", "b", true, oneTask, taskSlots = 0),
+            CapacityDemand(Samples.spec(zone = "b"), 1, mayUseOnDemand = false) to Bin("h1", "big", "b", false, oneTask),
+            CapacityDemand(sameZone, 1, placedZones = listOf("b")) to Bin("h1", "big", "a", true, oneTask),
+        )
+        for ((demand, bin) in rows) {
+            val result = pack(listOf(demand), listOf(bin))
+            assertEquals(PackingResult(mapOf(Offer("small", "b", true) to 1), emptySet()), result, "$demand")
+        }
+        assertEquals(setOf("h1"), pack(listOf(CapacityDemand(Samples.spec(), 1)), listOf(onDemand())).usedMachines)
     }
 
     @Test
--- a/src/test/kotlin/flaxfield/sim/QuietEndTest.kt
+++ b/src/test/kotlin/flaxfield/sim/QuietEndTest.kt
@@ -19,17 +19,22 @@
     private class Scenario(seed: Int) {
         val cluster = SimCluster(seed)
         val schedule = FaultSchedule(cluster.loop)
+        val runningTasks = HashSet<TaskKey>()
         private val users = ArrayList<SimUser>()
         private var onFirstCompletion: (() -> Unit)? = null
 
         init {
             for (i in 0..2) cluster.boot(i)
             cluster.invariants.watcher = object : TaskWatcher {
-                override fun onRunning(spec: JobSpec, index: Int) = Unit
+                override fun onRunning(spec: JobSpec, index: Int) {
+                    runningTasks += TaskKey(spec.id, index)
+                }
 
                 override fun onHalting(spec: JobSpec, index: Int, gracePeriodS: Double) = Unit
 
-                override fun onRemoved(spec: JobSpec, index: Int) = Unit
+                override fun onRemoved(spec: JobSpec, index: Int) {
+                    runningTasks -= TaskKey(spec.id, index)
+                }
 
                 override fun onCompleted(spec: JobSpec, index: Int) {
                     onFirstCompletion?.invoke()
@@ -136,6 +141,25 @@
         assertTrue(zones.size <= 1, "the machines that the gang can't use are returned: $zones")
     }
 
+    /** Guards against the cause of review case 2 for arrays: the fleet counted room where the job's other tasks are not. */
+    @ParameterizedTest
+    @ValueSource(ints = [13, 14])
+    fun `tasks of an array that is bound to the zone of its other tasks get machines there`(seed: Int) {
+        val scenario = Scenario(seed)
+        val cluster = scenario.cluster
+        val bound = Samples.spec("job-1", taskCount = 6, sameZone = true).copy(expectedRuntimeS = 2 * END_S)
+        scenario.schedule.at(5.0) { scenario.submit(bound) }
+        scenario.schedule.at(20.0) {
+            val zone = cluster.cloud.workers.values.first { it.hasLiveTasks }.machine.zone
+            val other = if (zone == "a") "b" else "a"
+            // Its machine has room for three tasks of the bound array.
+            scenario.submit(Samples.spec("job-2", taskCount = 1, zone = other).copy(expectedRuntimeS = 2 * END_S))
+        }
+        scenario.schedule.at(30.0) { cluster.cloud.workers.values.first { it.hasLiveTasks }.terminate() }
+        assertEquals(listOf("job-1", "job-2"), scenario.unfinishedJobs())
+        assertEquals(bound.taskCount, scenario.runningTasks.count { it.jobId == bound.id })
+    }
+
     /** Guards against machines that stay rented without end for a gang that no zone has enough machines for. */
     @ParameterizedTest
     @ValueSource(ints = [11, 12])
