A suspect machine is used again once the job that failed there finds no other

A job that failed once on the only machine of a full cloud waited 156 s while the machine was well and had room; the operators allow 90 s.

Cause: a machine is suspect until the job has been retried elsewhere, up to a lease and 1.5 fetches of its image. If there is no other machine, no retry can decide, and the machine was then returned with the tasks that ran there.

Change: 45 s after the failure, when the job no longer avoids the machine, and if it has no task elsewhere, the machine is in use again (ON_PROBATION). A second failure of the job there returns it, a completion clears it.

--- a/src/main/kotlin/flaxfield/workers/FaultDetector.kt
+++ b/src/main/kotlin/flaxfield/workers/FaultDetector.kt
@@ -39,13 +39,14 @@
             if (job == null || job.cancelled) {
                 null
             } else {
-                MachineFailures.JobRetry(job.failedMachines, retryDurationNs(job, workerState))
+                val isPlacedElsewhere = job.allPlaced().any { it.machineName != workerState.machineName }
+                MachineFailures.JobRetry(job.failedMachines, retryDurationNs(job, workerState), isPlacedElsewhere)
             }
         }
         when (verdict) {
             FaultVerdict.NONE -> workerState.failures = MachineFailures()
             FaultVerdict.FAULTY -> markFaulty(workerState, FaultReason.TASKS_FAIL_ONLY_HERE)
-            FaultVerdict.SUSPECT -> Unit
+            FaultVerdict.SUSPECT, FaultVerdict.ON_PROBATION -> Unit
         }
         return verdict
     }
--- a/src/main/kotlin/flaxfield/workers/WorkerHealth.kt
+++ b/src/main/kotlin/flaxfield/workers/WorkerHealth.kt
@@ -104,7 +104,7 @@
             else -> when (faults.evaluateFailures(workerState)) {
                 FaultVerdict.FAULTY -> MachineHealth.FAULTY
                 FaultVerdict.SUSPECT -> MachineHealth.SUSPECT
-                FaultVerdict.NONE -> MachineHealth.OK
+                FaultVerdict.NONE, FaultVerdict.ON_PROBATION -> MachineHealth.OK
             }
         }
     }
--- a/src/test/kotlin/flaxfield/sim/QuietEndTest.kt
+++ b/src/test/kotlin/flaxfield/sim/QuietEndTest.kt
@@ -123,6 +123,22 @@
         assertEquals(listOf("job-1"), scenario.unfinishedJobs())
     }
 
+    /** Guards against a machine that stays suspect for longer than a job may wait, as its image takes long to fetch. */
+    @ParameterizedTest
+    @ValueSource(ints = [15, 16])
+    fun `a machine that was faulty for seconds is used again if the cloud has no other`(seed: Int) {
+        val scenario = Scenario(seed)
+        scenario.limitCapacity { zone, preemptible -> if (zone == "a" && preemptible) 1 else 0 }
+        val longJob = Samples.spec("job-1", taskCount = 1).copy(expectedRuntimeS = 2 * END_S)
+        scenario.schedule.at(5.0) { scenario.submit(longJob) }
+        scenario.schedule.at(20.0) {
+            scenario.failTasks(scenario.cluster.cloud.workers.values.toList(), durationS = 5.0)
+            scenario.submit(array("job-0", tasks = 1).copy(imageGb = LARGE_IMAGE_GB))
+        }
+        assertEquals(listOf("job-1"), scenario.unfinishedJobs())
+        assertEquals(1, scenario.cluster.cloud.machinesRented)
+    }
+
     /** Guards against review case 2: the fleet asked the zone of the gang's idle machines again and again. */
     @ParameterizedTest
     @CsvSource("8, false", "9, false", "10, true")
@@ -190,6 +206,9 @@
         /** The time by which the fault of each scenario has ended. */
         const val FAULTS_END_S = 35.0
         const val END_S = 300.0
+
+        /** Its fetch takes 100 s. */
+        const val LARGE_IMAGE_GB = 400.0
         const val OLDER_TASKS = 12
         const val OLDER_TASK_INTERVAL_S = 0.3
 
--- a/src/test/kotlin/flaxfield/workers/MachineFailuresTest.kt
+++ b/src/test/kotlin/flaxfield/workers/MachineFailuresTest.kt
@@ -1,5 +1,7 @@
 package flaxfield.workers
 
+import flaxfield.NANOS_PER_MILLI
+import flaxfield.jobs.Job
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
 
@@ -46,4 +48,17 @@
             },
         )
     }
+
+    /** Guards against a machine that stays suspect for longer than a job may wait, with a large image and a full cloud. */
+    @Test
+    fun `a job without another machine is retried on the same one`() {
+        val endNs = Job.MACHINE_EXCLUSION_MS * NANOS_PER_MILLI
+        fun verdict(failures: MachineFailures, nowNs: Long, isPlacedElsewhere: Boolean = false) =
+            failures.evaluate("h", nowNs) { MachineFailures.JobRetry(listOf("h"), 4 * endNs, isPlacedElsewhere) }
+        val once = MachineFailures().plusFailure("a", 0).plusFailure("a", endNs - 1)
+        assertEquals(FaultVerdict.SUSPECT, verdict(once, endNs - 1))
+        assertEquals(FaultVerdict.ON_PROBATION, verdict(once, endNs))
+        assertEquals(FaultVerdict.SUSPECT, verdict(once, endNs, isPlacedElsewhere = true))
+        assertEquals(FaultVerdict.FAULTY, verdict(once.plusFailure("a", endNs), endNs))
+    }
 }
