--- a/src/main/kotlin/flaxfield/workers/HeartbeatReconciler.kt
+++ b/src/main/kotlin/flaxfield/workers/HeartbeatReconciler.kt
@@ -25,8 +25,15 @@
      * @param records all task records on the machine
      * @param term the current term; a heartbeat with another fencing token does not prove that a task is absent
      * @param mayLaunch whether this process's lease is valid, its view is fresh and the machine is not being retired
+     * @param mayWaitAgain whether a gang's task that has waited in vain for the other members is started again
      */
-    fun decide(heartbeat: Heartbeat, records: List<PlacedTask>, term: ULong, mayLaunch: Boolean): ReconcileResult {
+    fun decide(
+        heartbeat: Heartbeat,
+        records: List<PlacedTask>,
+        term: ULong,
+        mayLaunch: Boolean,
+        mayWaitAgain: (PlacedTask) -> Boolean = { false },
+    ): ReconcileResult {
         val commands = ArrayList<WorkerCommand>()
         val events = ArrayList<TaskEvent>()
         val recordById = records.associateBy(::idOf)
@@ -39,7 +46,10 @@
                 continue
             }
             reported += id
-            if (task.state == TaskState.ENDED) {
+            if (hasWaitedInVain(task, record, heartbeat) && mayWaitAgain(record)) {
+                // Both commands are executed in order, so the worker starts the same attempt again.
+                if (mayLaunch) commands += listOf(clear(task), launch(record))
+            } else if (task.state == TaskState.ENDED) {
                 events += endEvent(task, record, heartbeat.machineName)
             } else {
                 halt(task, record)?.let { commands += it }
@@ -57,9 +67,18 @@
 
     private fun attemptOf(record: PlacedTask) = record.placed.attempt.toULong()
 
+    /**
+     * Whether [task] has ended because the other members of its gang were not there in time, and is still wanted. If it
+     * counted as lost, the others would be stopped too, and an image fetch that is nearly complete would be given up.
+     */
+    private fun hasWaitedInVain(task: TaskStatus, record: PlacedTask, heartbeat: Heartbeat): Boolean =
+        task.state == TaskState.ENDED && task.cause == EndCause.INCOMPLETE && mustLaunch(record, heartbeat)
+
+    private fun clear(task: TaskStatus) = WorkerCommand.Clear(task.job, task.index, task.attempt)
+
     /** Returns the command for a task without a record: its end is already committed, or it must not run here. */
     private fun commandForUnrecorded(task: TaskStatus): WorkerCommand = if (task.state == TaskState.ENDED) {
-        WorkerCommand.Clear(task.job, task.index, task.attempt)
+        clear(task)
     } else {
         WorkerCommand.Halt(task.job, task.index, task.attempt, 0.0)
     }
--- a/src/main/kotlin/flaxfield/workers/OwnedHeartbeatHandler.kt
+++ b/src/main/kotlin/flaxfield/workers/OwnedHeartbeatHandler.kt
@@ -20,6 +20,7 @@
     private val responses: HeartbeatResponder,
 ) {
     private val adopter = UnknownMachineAdopter(context, workerHealth)
+    private val gangWaits = GangWaitPolicy(context)
     private val leaseNs = context.settings.workers.leaseS * NANOS_PER_SECOND
 
     /** Handles [heartbeat] under the current [term]; a delayed duplicate leads to no decision. */
@@ -80,7 +81,10 @@
         val records = context.view.placedTasksOn(heartbeat.machineName)
         // Launches need a fresh view: a task must not start if another controller has just committed its cancellation.
         val mayLaunch = machine.phase != MachinePhase.RETIRING && responses.viewIsFresh()
-        val result = HeartbeatReconciler.decide(heartbeat, records, term, mayLaunch)
+        gangWaits.observe(records, workerState)
+        val result = HeartbeatReconciler.decide(heartbeat, records, term, mayLaunch) {
+            gangWaits.mayWaitAgain(it, workerState)
+        }
         for (event in result.events) {
             workerHealth.recordTaskEvent(event, workerState)
             taskEvents.add(event)
--- a/src/main/kotlin/flaxfield/workers/WorkerState.kt
+++ b/src/main/kotlin/flaxfield/workers/WorkerState.kt
@@ -30,6 +30,9 @@
     /** Failures on this machine since a task last completed on it. */
     var failures = MachineFailures()
 
+    /** Since when the gang tasks on the machine have been placed there, as far as this process has seen. */
+    val gangTasksSinceNs = HashMap<AttemptId, Long>()
+
     /** Halts of cancelled tasks that were sent without effect. */
     var haltTracker = HaltTracker()
 
--- a/src/test/kotlin/flaxfield/sim/SimCloud.kt
+++ b/src/test/kotlin/flaxfield/sim/SimCloud.kt
@@ -49,6 +49,9 @@
     var machinesRented = 0
         private set
 
+    /** Called with the worker of each new machine, before it boots. */
+    var onRented: (SimWorker) -> Unit = {}
+
     /** Called with the machines of each return request, in the order of the request, before they are terminated. */
     var onReturn: (List<SimMachine>) -> Unit = {}
 
@@ -126,6 +129,7 @@
     private fun boot(machine: SimMachine) {
         val worker = createWorker(machine)
         workers[machine.machineName] = worker
+        onRented(worker)
         if (bootFailureRate > 0 && loop.random.nextDouble() < bootFailureRate) return
         val bootS = loop.random.nextDouble(MIN_BOOT_S, MAX_BOOT_S) * bootFactor
         loop.after((bootS * SimLoop.SECOND).toLong()) { if (!worker.terminated) worker.start() }
--- a/src/test/kotlin/flaxfield/sim/SimTaskRunner.kt
+++ b/src/test/kotlin/flaxfield/sim/SimTaskRunner.kt
@@ -28,6 +28,10 @@
     /** Whether every task that starts on this worker fails. */
     var failsTasks = false
 
+    /** The duration of an image pull, after which the image stays on the machine; null for a random one at each start. */
+    var pullDurationS: Double? = null
+    private val images = HashSet<String>()
+
     val hasLiveTasks: Boolean get() = tasks.values.any { it.isLive }
 
     val freeResources: Resources get() = freeWith(tasks.values.filter { it.isLive })
@@ -80,6 +84,7 @@
     }
 
     private fun start(task: SimTask) {
+        images += task.spec.image
         task.fails = failsTasks || task.spec.id in invariants.failingJobs
         invariants.taskStarted(task.spec.id, task.index, machine, loop.nowS)
         onChange()
@@ -152,7 +157,7 @@
         val live = tasks.values.filter { it.isLive }
         tasks[key] = task
         onChange()
-        task.remainingS = loop.random.nextDouble(MIN_PULL_S, MAX_PULL_S)
+        task.remainingS = pullS(spec.image)
         if (live.any { it.key == task.key }) {
             reject(task, SimTaskEndReason.ALREADY_RUNNING)
         } else if (!freeWith(live).canHold(spec.taskResources)) {
@@ -161,6 +166,11 @@
         }
     }
 
+    private fun pullS(image: String): Double = when {
+        pullDurationS != null && image in images -> 0.0
+        else -> pullDurationS ?: loop.random.nextDouble(MIN_PULL_S, MAX_PULL_S)
+    }
+
     private fun reject(task: SimTask, reason: SimTaskEndReason) {
         task.state = SimTaskState.ENDED
         task.endReason = reason
--- a/src/test/kotlin/flaxfield/sim/SimWorker.kt
+++ b/src/test/kotlin/flaxfield/sim/SimWorker.kt
@@ -61,6 +61,9 @@
     /** Whether any task on this worker has not ended. */
     val hasLiveTasks: Boolean by tasks::hasLiveTasks
 
+    /** The duration of an image pull on this worker; null for a random one at each start. */
+    var pullDurationS: Double? by tasks::pullDurationS
+
     /** Whether every task that starts on this worker fails. */
     var failsTasks: Boolean by tasks::failsTasks
 
--- a/src/test/kotlin/flaxfield/workers/HeartbeatReconcilerTest.kt
+++ b/src/test/kotlin/flaxfield/workers/HeartbeatReconcilerTest.kt
@@ -13,15 +13,21 @@
     private val stopping = job.stop(listOf(0))
     private val cancelled = job.copy(cancelledMs = 5)
     private val running = task(TaskState.RUNNING)
+    private val incomplete = task(TaskState.ENDED, EndCause.INCOMPLETE)
 
     private fun task(state: TaskState, cause: EndCause? = null, attempt: ULong = 1uL) = TaskStatus("job-1", 0, attempt, state, cause)
 
     private fun heartbeat(vararg tasks: TaskStatus, incarnation: ULong = 1uL, fencingToken: ULong = 7uL) =
         Heartbeat("h", "10.0.0.1:1", "big", "a", false, incarnation, 1uL, fencingToken, null, tasks.toList())
 
-    private fun decide(job: Job?, heartbeat: Heartbeat, mayLaunch: Boolean = true): ReconcileResult {
+    private fun decide(
+        job: Job?,
+        heartbeat: Heartbeat,
+        mayLaunch: Boolean = true,
+        mayWaitAgain: (PlacedTask) -> Boolean = { false },
+    ): ReconcileResult {
         val records = job?.allPlaced()?.map { PlacedTask(job, it) }?.toList().orEmpty()
-        return HeartbeatReconciler.decide(heartbeat, records, 7uL, mayLaunch)
+        return HeartbeatReconciler.decide(heartbeat, records, 7uL, mayLaunch, mayWaitAgain)
     }
 
     private val launch = WorkerCommand.Launch("job-1", 0, 1uL)
@@ -55,6 +61,31 @@
                 decide(null, heartbeat(task(TaskState.ENDED, EndCause.DONE))),
                 ReconcileResult(listOf(WorkerCommand.Clear("job-1", 0, 1uL)), emptyList()),
             ),
+            Triple(
+                "gang incomplete while another member fetches the image: start the same attempt again",
+                decide(job, heartbeat(incomplete)) { true },
+                ReconcileResult(listOf(WorkerCommand.Clear("job-1", 0, 1uL), launch), emptyList()),
+            ),
+            Triple(
+                "gang incomplete while launches are not allowed: wait",
+                decide(job, heartbeat(incomplete), mayLaunch = false) { true },
+                ReconcileResult(emptyList(), emptyList()),
+            ),
+            Triple(
+                "gang incomplete for too long: lost",
+                decide(job, heartbeat(incomplete)),
+                ReconcileResult(emptyList(), listOf(lost.copy(reason = "incomplete"))),
+            ),
+            Triple(
+                "gang incomplete and stopping: lost",
+                decide(stopping, heartbeat(incomplete)) { true },
+                ReconcileResult(emptyList(), listOf(lost.copy(reason = "incomplete"))),
+            ),
+            Triple(
+                "gang incomplete and cancelled: lost",
+                decide(cancelled, heartbeat(incomplete)) { true },
+                ReconcileResult(emptyList(), listOf(lost.copy(reason = "incomplete"))),
+            ),
             Triple(
                 "another attempt: halt it, launch the recorded one",
                 decide(job, heartbeat(task(TaskState.RUNNING, attempt = 9uL))),
