--- a/src/main/kotlin/flaxfield/zones/AbandonOrders.kt
+++ b/src/main/kotlin/flaxfield/drain/AbandonOrders.kt
@@ -1,11 +1,8 @@
-package flaxfield.zones
+package flaxfield.drain
 
 import flaxfield.controller.ControllerContext
-import flaxfield.drain.FleetKeys
-import flaxfield.drain.FleetSnapshot
-import flaxfield.drain.OrderErrorCode
-import flaxfield.drain.OrderResult
-import flaxfield.drain.OrderWriter
+import flaxfield.zones.AbandonCodec
+import flaxfield.zones.AbandonOrder
 import org.slf4j.LoggerFactory
 
 /**
--- a/src/main/kotlin/flaxfield/zones/FairShares.kt
+++ b/src/main/kotlin/flaxfield/drain/FairShares.kt
@@ -1,6 +1,5 @@
-package flaxfield.zones
+package flaxfield.drain
 
-import flaxfield.drain.Capacity
 import flaxfield.quota.DominantShare
 import flaxfield.settings.Team
 
--- a/src/main/kotlin/flaxfield/drain/FleetControl.kt
+++ b/src/main/kotlin/flaxfield/drain/FleetControl.kt
@@ -10,8 +10,6 @@
 import flaxfield.store.Transaction
 import flaxfield.store.WriteCause
 import flaxfield.zones.AbandonOrder
-import flaxfield.zones.AbandonOrders
-import flaxfield.zones.FleetZoneRules
 
 /**
  * The subsystem that a fleet file enables in a controller: snapshots for operators, drains and operators' orders. All
--- a/src/main/kotlin/flaxfield/zones/FleetZoneRules.kt
+++ b/src/main/kotlin/flaxfield/drain/FleetZoneRules.kt
@@ -1,10 +1,10 @@
-package flaxfield.zones
+package flaxfield.drain
 
-import flaxfield.drain.FleetPolicy
-import flaxfield.drain.FleetSnapshot
-import flaxfield.drain.RepeatPolicy
 import flaxfield.jobs.Job
 import flaxfield.jobs.JobSpec
+import flaxfield.zones.AbandonOrder
+import flaxfield.zones.PriorityTiers
+import flaxfield.zones.ZoneRules
 
 /**
  * Takes the rules from the fleet files and the operators' orders in the latest snapshot. While the members' files
--- a/src/main/kotlin/flaxfield/zones/TeamShareCalculator.kt
+++ b/src/main/kotlin/flaxfield/drain/TeamShareCalculator.kt
@@ -1,10 +1,9 @@
-package flaxfield.zones
+package flaxfield.drain
 
 import flaxfield.arrays.MachineHealth
-import flaxfield.drain.Capacity
-import flaxfield.drain.FleetSnapshot
 import flaxfield.jobs.Job
 import flaxfield.settings.Team
+import flaxfield.zones.ZoneRules
 
 /**
  * Computes each team's fair share of the reachable machines and its current allocation on them. Recovery tiers get
--- a/src/main/kotlin/flaxfield/operator/JobExplainer.kt
+++ b/src/main/kotlin/flaxfield/operator/JobExplainer.kt
@@ -2,13 +2,13 @@
 
 import flaxfield.arrays.MachineHealth
 import flaxfield.drain.FleetSnapshot
+import flaxfield.drain.FleetZoneRules
 import flaxfield.jobs.FinishedJob
 import flaxfield.jobs.Job
 import flaxfield.jobs.Placement
 import flaxfield.operator.v1.JobExplanation
 import flaxfield.quota.TeamUsage
 import flaxfield.settings.Team
-import flaxfield.zones.FleetZoneRules
 import flaxfield.zones.RepeatGuard
 
 /** Why a job is in its state: a stable [code] for scripts and a description for people. */
--- a/src/main/kotlin/flaxfield/operator/ZoneResponses.kt
+++ b/src/main/kotlin/flaxfield/operator/ZoneResponses.kt
@@ -1,14 +1,14 @@
 package flaxfield.operator
 
 import flaxfield.drain.FleetSnapshot
+import flaxfield.drain.FleetZoneRules
+import flaxfield.drain.TeamShareCalculator
 import flaxfield.operator.v1.FairShare
 import flaxfield.operator.v1.HeldTasks
 import flaxfield.operator.v1.Zone
 import flaxfield.settings.Team
-import flaxfield.zones.FleetZoneRules
 import flaxfield.zones.RepeatGuard
 import flaxfield.zones.ReturnRamp
-import flaxfield.zones.TeamShareCalculator
 import flaxfield.zones.ZoneRecord
 
 /** Builds the responses about zones from one snapshot. Pure: all controllers give the same response at a revision. */
--- a/src/main/kotlin/flaxfield/zones/RecoveryOrder.kt
+++ b/src/main/kotlin/flaxfield/zones/RecoveryOrder.kt
@@ -30,7 +30,7 @@
      * - Jobs of a lower [tier] come first; tier 0 is the most urgent.
      * - Jobs whose ids are in [guaranteed], as they fit their team's quota guarantee, come first.
      * - The team with the smallest dominant share of its guarantee comes next. Jobs that are already sorted count
-     *   towards the share: this is progressive filling, a discrete form of weighted max-min fairness, see [FairShares].
+     *   towards the share: this is progressive filling, a discrete form of weighted max-min fairness, see `FairShares`.
      * - Older jobs come first. A job that was placed before the loss at [lossMs] is as old as the loss, since its tasks
      *   were running until then. By its submission time, displaced work would precede all younger jobs; by the current
      *   time, it would follow them.
--- a/src/test/kotlin/flaxfield/zones/FairSharesTest.kt
+++ b/src/test/kotlin/flaxfield/drain/FairSharesTest.kt
@@ -1,7 +1,6 @@
-package flaxfield.zones
+package flaxfield.drain
 
 import flaxfield.Samples
-import flaxfield.drain.Capacity
 import flaxfield.settings.Team
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
--- a/src/test/kotlin/flaxfield/upgrade/ControllerProcesses.kt
+++ b/src/test/kotlin/flaxfield/upgrade/ControllerProcesses.kt
@@ -6,8 +6,8 @@
 import java.util.concurrent.TimeUnit
 
 /**
- * The jars of one build in a directory. Both are on the class path: with `-jar flaxfield.jar` alone, `serve --fleet` ends
- * with a NoClassDefFoundError (KNOWN-RED.txt).
+ * The jars of one build in a directory. Both are on the class path: with `-jar flaxfield.jar` alone, `serve --fleet` of
+ * earlier builds ends with a NoClassDefFoundError (docs/incidents/fleet-start.md).
  */
 class Build(val name: String, directory: File) {
     private val jars = listOf(File(directory, "flaxfield.jar"), File(directory, "flaxfield-operator.jar"))
--- a/src/test/kotlin/flaxfield/zones/ZoneMeasurement.kt
+++ b/src/test/kotlin/flaxfield/zones/ZoneMeasurement.kt
@@ -1,6 +1,8 @@
 package flaxfield.zones
 
 import flaxfield.Samples
+import flaxfield.drain.FleetZoneRules
+import flaxfield.drain.TeamShareCalculator
 import flaxfield.jobs.JobSpec
 import flaxfield.jobs.Priority
 import flaxfield.jobs.Resources
