An incomplete end counts only under the current token, since the attempt may run again

Cause: since a gang's member is started again under the same attempt, the end of an attempt is not final any more.

Change: an incomplete end under an older token leads to no event, like an absence. A cancelled task that was last reported as incomplete is halted by its record once the heartbeat is overdue.

Tests: two rows in HeartbeatReconcilerTest.

--- a/src/main/kotlin/flaxfield/workers/HeartbeatReconciler.kt
+++ b/src/main/kotlin/flaxfield/workers/HeartbeatReconciler.kt
@@ -46,13 +46,11 @@
                 continue
             }
             reported += id
-            if (hasWaitedInVain(task, record, heartbeat) && mayWaitAgain(record)) {
-                // Both commands are executed in order, so the worker starts the same attempt again.
-                if (mayLaunch) commands += listOf(clear(task), launch(record))
-            } else if (task.state == TaskState.ENDED) {
-                events += endEvent(task, record, heartbeat.machineName)
-            } else {
-                halt(task, record)?.let { commands += it }
+            when {
+                task.state != TaskState.ENDED -> commands += listOfNotNull(halt(task, record))
+                !isEndProven(task, heartbeat, term) -> Unit
+                isRestartable(task, record, heartbeat, mayWaitAgain) -> commands += restart(task, record, mayLaunch)
+                else -> events += endEvent(task, record, heartbeat.machineName)
             }
         }
         for (record in records) {
@@ -68,11 +66,26 @@
     private fun attemptOf(record: PlacedTask) = record.placed.attempt.toULong()
 
     /**
-     * Whether [task] has ended because the other members of its gang were not there in time, and is still wanted. If it
+     * Whether [heartbeat] proves that the ended [task] has left its machine. If its gang was incomplete, it may have been
+     * started again since, unless the heartbeat is of the current term.
+     */
+    private fun isEndProven(task: TaskStatus, heartbeat: Heartbeat, term: ULong): Boolean =
+        task.cause != EndCause.INCOMPLETE || heartbeat.fencingToken == term
+
+    /**
+     * Whether [task] ended because the other members of its gang were not there in time, and is still wanted. If it
      * counted as lost, the others would be stopped too, and an image fetch that is nearly complete would be given up.
      */
-    private fun hasWaitedInVain(task: TaskStatus, record: PlacedTask, heartbeat: Heartbeat): Boolean =
-        task.state == TaskState.ENDED && task.cause == EndCause.INCOMPLETE && mustLaunch(record, heartbeat)
+    private fun isRestartable(
+        task: TaskStatus,
+        record: PlacedTask,
+        heartbeat: Heartbeat,
+        mayWaitAgain: (PlacedTask) -> Boolean,
+    ): Boolean = task.cause == EndCause.INCOMPLETE && mustLaunch(record, heartbeat) && mayWaitAgain(record)
+
+    /** Returns the commands that start [task] again under the same attempt; none while launches are not allowed. */
+    private fun restart(task: TaskStatus, record: PlacedTask, mayLaunch: Boolean): List<WorkerCommand> =
+        if (mayLaunch) listOf(clear(task), launch(record)) else emptyList()
 
     private fun clear(task: TaskStatus) = WorkerCommand.Clear(task.job, task.index, task.attempt)
 
@@ -129,6 +142,9 @@
         if (!job.cancelled && !(mayStop && record.placed.stopping)) return@mapNotNull null
         val task = heartbeat?.tasks?.firstOrNull {
             it.job == job.id && it.index == record.placed.index && it.attempt == attemptOf(record)
+        }?.takeUnless {
+            // The response to that heartbeat may have started the attempt again.
+            heartbeatOverdue && it.cause == EndCause.INCOMPLETE
         }
         when {
             task != null -> if (task.state == TaskState.ENDED) null else halt(task, record)
--- a/src/test/kotlin/flaxfield/workers/HeartbeatReconcilerTest.kt
+++ b/src/test/kotlin/flaxfield/workers/HeartbeatReconcilerTest.kt
@@ -76,6 +76,12 @@
                 decide(job, heartbeat(incomplete)),
                 ReconcileResult(emptyList(), listOf(lost.copy(reason = "incomplete"))),
             ),
+            // An old heartbeat that reaches a new owner: the attempt may have been started again since.
+            Triple(
+                "gang incomplete under an older term: no proof",
+                decide(stopping, heartbeat(incomplete, fencingToken = 6uL)),
+                ReconcileResult(emptyList(), emptyList()),
+            ),
             Triple(
                 "gang incomplete and stopping: lost",
                 decide(stopping, heartbeat(incomplete)) { true },
@@ -229,6 +235,11 @@
                 directHalts(cancelled, heartbeat(task(TaskState.ENDED, EndCause.DONE)), heartbeatOverdue = true),
                 emptyList(),
             ),
+            Triple(
+                "incomplete, heartbeat overdue: the attempt may have been started again",
+                directHalts(cancelled, heartbeat(incomplete), heartbeatOverdue = true),
+                listOf(halt),
+            ),
             Triple(
                 "stopping",
                 directHalts(stopping, heartbeat(running), heartbeatOverdue = false),
