--- a/review/platform-2/Cloud.java
+++ b/review/platform-2/Cloud.java
@@ -27,6 +27,9 @@
     private final List<Snapshot> snapshots = new ArrayList<>();
     private int nextHost = 231;
 
+    /** How many of the next machines fail every task that they start. */
+    int sickMachines;
+
     Cloud(Site site) throws IOException {
         this.site = site;
         server = new Http.Server(this::serve);
@@ -99,6 +102,7 @@
             String host = String.format("host-%06d", nextHost++);
             machines.put(host, new Worker(site, host, zone, lendable));
             all.put(host, machines.get(host));
+            machines.get(host).sick = sickMachines-- > 0;
             hosts.add(host);
         }
         hires.put(name, hosts);
--- a/review/platform-2/Site.java
+++ b/review/platform-2/Site.java
@@ -7,7 +7,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -89,7 +88,13 @@
         volatile long firstStartNs;
         volatile int starts;
         final java.util.Set<Integer> done = ConcurrentHashMap.newKeySet();
+        final java.util.Set<String> failedOn = ConcurrentHashMap.newKeySet();
         final Map<Integer, java.util.Set<String>> on = new ConcurrentHashMap<>();
+
+        /** Whether no task is on any machine. */
+        boolean nowhere() {
+            return on.values().stream().allMatch(java.util.Set::isEmpty);
+        }
     }
 
     final Figures figures;
@@ -490,7 +495,4 @@
         Runtime.getRuntime().halt(status);
     }
 
-    static Map<String, Object> linked() {
-        return new LinkedHashMap<>();
-    }
 }
--- a/review/platform-2/State.java
+++ b/review/platform-2/State.java
@@ -300,16 +300,6 @@
         return entry == null ? null : (String) ((Map<?, ?>) entry.value).get(field);
     }
 
-    /** Returns the records whose keys begin with a prefix. */
-    synchronized Map<String, Object> records(String under) {
-        Map<String, Object> records = new TreeMap<>();
-        for (Map.Entry<String, Entry> e : entries.tailMap(under, true).entrySet()) {
-            if (!e.getKey().startsWith(under)) break;
-            records.put(e.getKey(), e.getValue().value);
-        }
-        return records;
-    }
-
     /** A limit on requests or changes in each second, with bursts. */
     static final class Rate {
         private final double perSecond;
--- a/review/platform-2/Worker.java
+++ b/review/platform-2/Worker.java
@@ -19,6 +19,7 @@
         String cause;
         boolean kept;
         boolean onMachine;
+        boolean fails;
         double pullLeftS;
         double leftS;
         double waitedS;
@@ -83,6 +84,9 @@
     private volatile boolean up;
     private volatile boolean terminated;
     volatile boolean hung;
+
+    /** Whether the machine fails every task that it starts. */
+    volatile boolean sick;
     volatile int largestReport;
     volatile int largestResponse;
     volatile int leasesLost;
@@ -119,8 +123,9 @@
         return (System.nanoTime() - hiredNs) / 1e9;
     }
 
+    /** Returns the number of tasks that have not ended. */
     synchronized int size() {
-        return tasks.size();
+        return (int) tasks.values().stream().filter(Task::live).count();
     }
 
     synchronized boolean has(Site.Job job) {
@@ -245,7 +250,8 @@
             end(task, "done");
             return;
         }
-        task.leftS = task.job.runS;
+        task.fails = sick;
+        task.leftS = sick ? 0.5 : task.job.runS;
         if (!task.job.group || task.job.shards == 1) {
             task.phase = "running";
             return;
@@ -264,7 +270,12 @@
     private void run(Task task, double stepS) {
         if (task.gang == null) {
             task.leftS -= stepS;
-            if (task.leftS <= 0) complete(task);
+            if (task.leftS <= 0 && task.fails) {
+                task.job.failedOn.add(host);
+                end(task, "error");
+            } else if (task.leftS <= 0) {
+                complete(task);
+            }
             return;
         }
         if (!task.gang.complete && !task.gang.lost) task.gang.advance(site.figures.gangPeerS);
