--- a/review/platform-2/Site.java
+++ b/review/platform-2/Site.java
@@ -108,6 +108,19 @@
     final Path temporary;
     private final String[] command;
     volatile boolean stopping;
+
+    /** The zone that is cut off from everything else; null if there is none. */
+    volatile String cutZone;
+
+    /** The arguments that follow the settings file. */
+    java.util.function.Function<Controller, List<String>> moreArguments = controller -> List.of();
+
+    /** Whether the network between two places is interrupted. The region, which has no zone, is null. */
+    boolean interrupted(String from, String to) {
+        String cut = cutZone;
+        return cut != null && cut.equals(from) != cut.equals(to);
+    }
+
     private int nextJob = 412;
     Balancer balancer;
 
@@ -190,6 +203,7 @@
             Path settings = temporary.resolve(name + ".json");
             Files.writeString(settings, settings(this));
             words.add(settings.toString());
+            words.addAll(moreArguments.apply(this));
             ProcessBuilder builder = new ProcessBuilder(words);
             builder.environment().put("LOG_LEVEL", System.getProperty("level", "info"));
             builder.redirectOutput(ProcessBuilder.Redirect.DISCARD);
@@ -246,6 +260,7 @@
         }
 
         boolean ready() {
+            if (interrupted(null, zone)) return false;
             Http.Response response = Http.once(servePort, "GET", "/ready", null, 1000);
             return response != null && response.status == 200;
         }
@@ -270,12 +285,15 @@
         return '"' + text + '"';
     }
 
-    private String settings(Controller self) {
+    private String settings(Controller self) throws IOException {
+        int cloudPort = new Link(cloud.server.port(), () -> interrupted(self.zone, null)).port();
+        int statePort = new Link(state.servers[self.index].port(), () -> interrupted(self.zone, null)).port();
         List<String> others = new ArrayList<>();
         for (Controller other : controllers) {
             if (other == self) continue;
+            int port = new Link(other.peerPort, () -> interrupted(self.zone, other.zone)).port();
             others.add("{\"node_name\": " + quoted(other.name) + ", \"zone\": " + quoted(other.zone)
-                + ", \"peer_addr\": \"127.0.0.1:" + other.peerPort + "\"}");
+                + ", \"peer_addr\": \"127.0.0.1:" + port + "\"}");
         }
         List<String> zones = new ArrayList<>();
         for (String zone : figures.zones) zones.add(quoted(zone));
@@ -287,8 +305,8 @@
         return "{\"node_name\": " + quoted(self.name) + ", \"zone\": " + quoted(self.zone)
             + ", \"serve_on\": \"127.0.0.1:" + self.servePort + "\", \"internal_addr\": \"127.0.0.1:" + self.peerPort + "\""
             + ", \"others\": " + others
-            + ", \"external\": {\"cloud\": \"127.0.0.1:" + cloud.server.port() + "\", \"state\": \"127.0.0.1:"
-            + state.servers[self.index].port() + "\"}"
+            + ", \"external\": {\"cloud\": \"127.0.0.1:" + cloudPort + "\", \"state\": \"127.0.0.1:"
+            + statePort + "\"}"
             + ", \"deployment\": {\"size\": 3, \"zones\": " + zones + ", \"teams\": " + teams
             + ", \"objectives\": [{\"kind\": \"wait\", \"class\": \"forense\", \"within_s\": 60.0, \"share\": 0.9}]"
             + ", \"workers\": {\"report_s\": " + figures.reportS + ", \"lease_s\": " + figures.leaseS + ", \"gang_wait_s\": "
--- a/review/platform-2/Worker.java
+++ b/review/platform-2/Worker.java
@@ -380,7 +380,7 @@
     /** Serves direct commands. */
     private Http.Response serve(Http.Request request) throws InterruptedException {
         if (Math.random() < lateCommands) Thread.sleep(2000 + (long) (14_000 * Math.random()));
-        while (hung && !terminated) Thread.sleep(50);
+        while ((hung || site.interrupted(zone, null)) && !terminated) Thread.sleep(50);
         if (!up || terminated) return null;
         synchronized (GANGS) {
             synchronized (this) {
@@ -425,7 +425,9 @@
                     for (Site.Controller c : site.controllers) Http.once(c.servePort, "POST", "/hello", body, 4000);
                 });
             }
-            Http.Response response = cutFromControllers ? null : clients[node].send("POST", "/hello", body, 4000);
+            boolean interrupted = site.interrupted(zone, site.controllers[node].zone);
+            if (interrupted) Site.sleep(4000);
+            Http.Response response = cutFromControllers || interrupted ? null : clients[node].send("POST", "/hello", body, 4000);
             if (terminated) return;
             int next = -1;
             if (response != null && response.status == 200) {
