Fix: the end of a large gang no longer takes quadratic work on the owner thread

TaskEventRules.applyLoss stopped all other tasks of a gang once for each of its lost tasks, and Job.updateChunks copied a chunk once for each task. HeartbeatReconciler.directHalts searched the heartbeat once for each record. And the duty that commits task events had no bound: a run outlasted the store lease, its transaction failed on the new term, and the next owner began again.

Change: changes of a job copy each chunk once; a gang is stopped once. Pending events are kept by chunk. A run looks at 4,000 events at most, commits whole chunks, and the next run goes on from there, so that what is committed lasts. Halts are sent for 4,000 checked tasks a round. Stopping an array's tasks takes as many chunks as fit one transaction. New metrics: flaxfield_pending_task_events, flaxfield_transactions_oversized.

--- a/src/main/kotlin/flaxfield/controller/ControllerStats.kt
+++ b/src/main/kotlin/flaxfield/controller/ControllerStats.kt
@@ -16,6 +16,12 @@
     /** The number of waiting jobs for which the leader's latest plan found neither a machine nor an offer. */
     var unmetDemands = 0
 
+    /** The number of task events that wait for their commit, as of the latest run of the duty that commits them. */
+    var pendingTaskEvents = 0
+
+    /** The number of transactions that were not sent because they exceed a limit of the state service. */
+    private var oversized = 0L
+
     /** The accumulated time in nanoseconds, by duty name. */
     private val dutyNs = TreeMap<String, Long>()
 
@@ -34,6 +40,11 @@
         }
     }
 
+    /** Counts a transaction that was not sent because it exceeds a limit of the state service. */
+    fun addOversized() {
+        oversized++
+    }
+
     /** Adds [elapsedNs] to the time of [duty], a label value of the metric `flaxfield_duty_seconds`. */
     fun addDutyTime(duty: String, elapsedNs: Long) {
         dutyNs.merge(duty, elapsedNs, Long::plus)
@@ -46,7 +57,8 @@
             val count = changes[cause.ordinal]
             if (count > 0) append("changes_${cause.name.lowercase()}=$count ")
         }
-        append("conflicts=$conflicts refused=$refusals unknown=$unknown")
+        append("conflicts=$conflicts refused=$refusals unknown=$unknown oversized=$oversized ")
+        append("pending_task_events=$pendingTaskEvents")
     }
 
     /** Returns all counters in the text format of `GET /metrics`, one per line. */
@@ -57,6 +69,8 @@
         append("flaxfield_transactions_conflict $conflicts\n")
         append("flaxfield_transactions_refused $refusals\n")
         append("flaxfield_transactions_unknown $unknown\n")
+        append("flaxfield_transactions_oversized $oversized\n")
+        append("flaxfield_pending_task_events $pendingTaskEvents\n")
         append("flaxfield_unmet_demands $unmetDemands\n")
         for ((duty, ns) in dutyNs) append("flaxfield_duty_seconds{duty=\"$duty\"} ${ns / NANOS_PER_SECOND}\n")
     }
--- a/src/main/kotlin/flaxfield/controller/TransactionSubmitter.kt
+++ b/src/main/kotlin/flaxfield/controller/TransactionSubmitter.kt
@@ -62,7 +62,7 @@
     fun submit(cause: WriteCause, transaction: Transaction, done: (TransactionOutcome) -> Unit = {}): Boolean {
         if (!mayWrite(cause, transaction.changes.size)) return false
         if (isRejected(transaction)) return false
-        val violation = TransactionSize.violation(transaction, settings.stateLimits)
+        val violation = violation(transaction)
         if (violation != null) {
             reject(transaction, violation)
             return false
@@ -72,6 +72,9 @@
         return true
     }
 
+    /** Returns the limit of the state service that [transaction] exceeds; null if it is within all limits. */
+    fun violation(transaction: Transaction): String? = TransactionSize.violation(transaction, settings.stateLimits)
+
     private fun send(cause: WriteCause, transaction: Transaction, done: (TransactionOutcome) -> Unit) {
         stats.addChanges(cause, transaction.changes.size)
         for (change in transaction.changes) pending[change.key] = null
@@ -91,6 +94,7 @@
      * for a while, instead of being retried at once.
      */
     private fun reject(transaction: Transaction, violation: String) {
+        stats.addOversized()
         log.error("event=transaction_rejected keys={} reason={}", transaction.changes.map { it.key }, violation)
         if (rejectedUntilNs.size > MAX_REJECTED_KEYS) rejectedUntilNs.clear()
         val untilNs = clock.monotonicNs() + (settings.workers.cancelS * NANOS_PER_SECOND).toLong()
--- a/src/main/kotlin/flaxfield/drain/DrainedMachines.kt
+++ b/src/main/kotlin/flaxfield/drain/DrainedMachines.kt
@@ -1,6 +1,7 @@
 package flaxfield.drain
 
 import flaxfield.fleet.Machine
+import flaxfield.jobs.Job
 
 /** Indexes the machines that each drain has cordoned and the tasks on them. */
 internal class DrainedMachines(private val snapshot: FleetSnapshot) {
@@ -24,10 +25,11 @@
         val result = HashMap<String, MutableList<DisruptionUnit>>()
         for (job in snapshot.jobs.values) {
             val byMachine = job.allPlaced().filter { it.machineName in drained }.groupBy { it.machineName }
+            val gang by lazy(LazyThreadSafetyMode.NONE) { wholeGang(job) }
             for ((machineName, placements) in byMachine) {
                 val units = result.getOrPut(machineName) { ArrayList() }
                 if (job.isGang) {
-                    units += DisruptionUnit(job, job.allPlaced().map { it.index }.sorted().toList())
+                    units += gang
                 } else {
                     for (placement in placements) units += DisruptionUnit(job, listOf(placement.index))
                 }
@@ -35,4 +37,6 @@
         }
         return result
     }
+
+    private fun wholeGang(job: Job) = DisruptionUnit(job, job.allPlaced().map { it.index }.sorted().toList())
 }
--- a/src/main/kotlin/flaxfield/drain/RunningTaskProof.kt
+++ b/src/main/kotlin/flaxfield/drain/RunningTaskProof.kt
@@ -1,6 +1,7 @@
 package flaxfield.drain
 
 import flaxfield.jobs.Placement
+import flaxfield.workers.AttemptId
 import flaxfield.workers.Heartbeat
 import flaxfield.workers.TaskState
 
@@ -11,10 +12,5 @@
         heartbeat.machineName == placement.machineName &&
         heartbeat.fencingToken == term &&
         heartbeat.incarnation == placement.incarnation &&
-        heartbeat.tasks.any {
-            it.job == job &&
-                it.index == placement.index &&
-                it.attempt == placement.attempt.toULong() &&
-                it.state == TaskState.RUNNING
-        }
+        heartbeat.task(AttemptId(job, placement.index, placement.attempt.toULong()))?.state == TaskState.RUNNING
 }
--- a/src/main/kotlin/flaxfield/jobs/Job.kt
+++ b/src/main/kotlin/flaxfield/jobs/Job.kt
@@ -68,6 +68,9 @@
     /** Whether the task at [index] was lost and is not yet known to run again. */
     fun isInterrupted(index: Int): Boolean = chunks[index / chunkTasks]?.interrupted?.contains(index) ?: false
 
+    /** Whether any placed task must stop. */
+    val hasStoppingTasks: Boolean get() = chunks.values.any { it.stoppingCount > 0 }
+
     /** Returns all placements, chunk by chunk. */
     fun allPlaced(): Sequence<Placement> = chunks.values.asSequence().flatMap { it.placed.values.asSequence() }
 
@@ -117,41 +120,31 @@
     fun nextGangAttempt(): Long = chunks.values.maxOfOrNull { it.nextAttempt } ?: 1L
 
     /** Records tasks as no longer placed. */
-    fun free(indexes: Collection<Int>): Job = updateChunks(indexes) { chunk, index ->
-        chunk.copy(placed = chunk.placed - index)
+    fun free(indexes: Collection<Int>): Job = updateChunks(indexes) { chunk, inChunk ->
+        chunk.copy(placed = chunk.placed - inChunk)
     }
 
     /** Records tasks as interrupted: they were lost and are not yet known to run again. */
-    fun interrupt(indexes: Collection<Int>): Job = updateChunks(indexes) { chunk, index ->
-        chunk.copy(interrupted = chunk.interrupted + index)
+    fun interrupt(indexes: Collection<Int>): Job = updateChunks(indexes) { chunk, inChunk ->
+        chunk.copy(interrupted = chunk.interrupted + inChunk)
     }
 
     /** Records tasks as no longer interrupted, since they run again. */
-    fun restore(indexes: Collection<Int>): Job = updateChunks(indexes) { chunk, index ->
-        chunk.copy(interrupted = chunk.interrupted - index)
+    fun restore(indexes: Collection<Int>): Job = updateChunks(indexes) { chunk, inChunk ->
+        chunk.copy(interrupted = chunk.interrupted - inChunk)
     }
 
-    /** Records that placed tasks must stop. */
-    fun stop(indexes: Collection<Int>): Job = updateChunks(indexes) { chunk, index ->
-        val placement = chunk.placed[index]
-        if (placement == null) chunk else chunk.copy(placed = chunk.placed + (index to placement.copy(stopping = true)))
-    }
+    /** Records that placed tasks must stop. Chunks in which this changes nothing stay the same objects. */
+    fun stop(indexes: Collection<Int>): Job = updateChunks(indexes) { chunk, inChunk -> chunk.stop(inChunk) }
 
-    /** Records tasks as completed, with one copy of each affected chunk. */
-    fun finish(indexes: Collection<Int>): Job {
-        val next = HashMap(chunks)
-        for ((number, inChunk) in indexes.groupBy { it / chunkTasks }) {
-            val chunk = next[number] ?: JobChunk.empty()
-            val done = chunk.done.clone() as BitSet
-            for (index in inChunk) done.set(index)
-            val finished = inChunk.toSet()
-            next[number] = chunk.copy(
-                done = done,
-                placed = chunk.placed - finished,
-                interrupted = chunk.interrupted - finished,
-            )
-        }
-        return copy(chunks = next)
+    /** Records that all placed tasks must stop. Chunks in which this changes nothing stay the same objects. */
+    fun stopAll(): Job = copy(chunks = chunks.mapValues { (_, chunk) -> chunk.stop(chunk.placed.keys) })
+
+    /** Records tasks as completed. */
+    fun finish(indexes: Collection<Int>): Job = updateChunks(indexes) { chunk, inChunk ->
+        val done = chunk.done.clone() as BitSet
+        for (index in inChunk) done.set(index)
+        chunk.copy(done = done, placed = chunk.placed - inChunk, interrupted = chunk.interrupted - inChunk)
     }
 
     /** Whether the placement of one task constrains the others: then a change of any chunk must also write the head. */
@@ -164,11 +157,11 @@
         retryAtMs == other.retryAtMs &&
         failedAtMs == other.failedAtMs
 
-    private fun updateChunks(indexes: Collection<Int>, change: (JobChunk, Int) -> JobChunk): Job {
+    /** Applies [change] once to each chunk that holds any of [indexes], together with its part of them. */
+    private fun updateChunks(indexes: Collection<Int>, change: (JobChunk, Set<Int>) -> JobChunk): Job {
         val next = HashMap(chunks)
-        for (index in indexes) {
-            val number = index / chunkTasks
-            next[number] = change(next[number] ?: JobChunk.empty(), index)
+        for ((number, inChunk) in indexes.groupBy { it / chunkTasks }) {
+            next[number] = change(next[number] ?: JobChunk.empty(), inChunk.toHashSet())
         }
         return copy(chunks = next)
     }
--- a/src/main/kotlin/flaxfield/jobs/JobChunk.kt
+++ b/src/main/kotlin/flaxfield/jobs/JobChunk.kt
@@ -21,6 +21,20 @@
      */
     val interrupted: Set<Int> = emptySet(),
 ) {
+    /** The number of placed tasks that must stop. */
+    val stoppingCount: Int by lazy(LazyThreadSafetyMode.NONE) { placed.values.count { it.stopping } }
+
+    /** Returns this chunk with the placements of [indexes] stopping; the same object if all of them are already. */
+    fun stop(indexes: Set<Int>): JobChunk {
+        if (stoppingCount == placed.size) return this
+        if (indexes.all { placed[it]?.stopping ?: true }) return this
+        return copy(
+            placed = placed.mapValues { (index, placement) ->
+                if (index in indexes && !placement.stopping) placement.copy(stopping = true) else placement
+            },
+        )
+    }
+
     companion object {
         /** Returns the chunk of tasks that were never placed; it is not in the store yet. */
         fun empty() = JobChunk(1, BitSet(), emptyMap(), 0uL)
--- a/src/main/kotlin/flaxfield/jobs/StallMonitor.kt
+++ b/src/main/kotlin/flaxfield/jobs/StallMonitor.kt
@@ -45,7 +45,7 @@
             job.retryAtMs > nowMs -> StallReason.BACKS_OFF
             job.pendingCount > 0 && fitting.areAllExcluded -> StallReason.MACHINES_EXCLUDED
             job.pendingCount > 0 -> StallReason.WAITS_FOR_RESOURCES
-            job.cancelled || job.allPlaced().any { it.stopping } -> StallReason.WAITS_FOR_PROOF
+            job.cancelled || job.hasStoppingTasks -> StallReason.WAITS_FOR_PROOF
             else -> StallReason.NOT_STALLED
         }
 }
--- a/src/main/kotlin/flaxfield/jobs/TaskEventCommitter.kt
+++ b/src/main/kotlin/flaxfield/jobs/TaskEventCommitter.kt
@@ -12,23 +12,26 @@
 /**
  * Commits task events to their jobs' records, and closes finished jobs. An event is retained until the view shows that
  * its attempt is no longer recorded. Used by the owner thread only.
+ *
+ * One run looks at a limited number of events, and the next one goes on from there. Each transaction that it sends
+ * lasts: a run that ends early, or a new term, repeats none of those that are in the view.
  */
 class TaskEventCommitter(private val context: ControllerContext) {
-    private data class AttemptKey(val index: Int, val attempt: Long)
+    private val pending = LinkedHashMap<String, PendingTaskEvents>()
+    private val sweeper = FinishedJobSweeper(context)
+    private val maxChunks = JobTransactions.maxChunks(context.settings.stateLimits)
 
-    /** Events of one job that the view does not show yet, in order of arrival. */
-    private class PendingEvents(var sinceNs: Long) {
-        val byAttempt = LinkedHashMap<AttemptKey, TaskEvent>()
-    }
+    /** The job at which the next run starts; null if the last run looked at all jobs. */
+    private var nextJob: String? = null
 
-    private val pending = LinkedHashMap<String, PendingEvents>()
-    private val sweeper = FinishedJobSweeper(context)
+    /** The number of events that are not known to be committed, possibly with some that no longer apply. */
+    val pendingCount: Int get() = pending.values.sumOf { it.count }
 
-    /** Adds an event; a repeated one replaces the first. */
+    /** Adds an event; a repeated one replaces the first. An event of a job that is not in the view has no effect. */
     fun add(event: TaskEvent) {
-        val events = pending.getOrPut(event.job) { PendingEvents(context.nowNs) }
-        val known = events.byAttempt.put(AttemptKey(event.index, event.attempt), event)
-        if (known == null) context.decisions.request()
+        val job = context.view.jobs[event.job] ?: return
+        val events = pending.getOrPut(event.job) { PendingTaskEvents(context.nowNs) }
+        if (events.add(event.index / job.chunkTasks, event)) context.decisions.request()
     }
 
     /** Commits the events that are due, as far as the write budget allows. */
@@ -38,45 +41,72 @@
         val anyTaskPending by lazy(LazyThreadSafetyMode.NONE) {
             context.view.jobs.values.any { !it.cancelled && it.pendingCount > 0 }
         }
-        for (id in commitOrder()) {
-            val ready = readyEvents(id) { anyTaskPending } ?: continue
-            // If not even the most urgent write is allowed, the rest waits as well.
-            if (!context.transactions.mayWrite(WriteCause.FINISH, 1)) break
-            if (commit(ready, term)) ready.pending.sinceNs = context.nowNs
-        }
+        commitJobs(term) { anyTaskPending }
+        context.stats.pendingTaskEvents = pendingCount
         if (context.leadership.isLeader()) sweeper.run()
     }
 
-    /** The part of a job's [pending] events that may be committed now. */
-    private class ReadyEvents(
-        val job: Job,
-        val pending: PendingEvents,
-        val events: List<TaskEvent>,
-        val urgent: Boolean,
-    )
-
-    private fun readyEvents(id: String, anyTaskPending: () -> Boolean): ReadyEvents? {
-        val jobEvents = pending[id] ?: return null
-        val job = dropStale(id, jobEvents) ?: return null
-        // Checked at the commit rather than on arrival: a controller inside a lost zone may learn of the loss only
-        // after it has received the heartbeats that follow the zone's return.
-        val events = jobEvents.byAttempt.values.filterNot { context.zones?.mustDefer(it) ?: false }
-        if (events.isEmpty()) return null
-        val urgent = isUrgent(job, events)
-        return if (urgent || isBatchDue(jobEvents, anyTaskPending)) {
-            ReadyEvents(job, jobEvents, events, urgent)
-        } else {
-            null
+    private fun commitJobs(term: ULong, anyTaskPending: () -> Boolean) {
+        val order = commitOrder()
+        val start = order.indexOf(nextJob).coerceAtLeast(0)
+        nextJob = null
+        var examined = 0
+        for (id in order.drop(start) + order.take(start)) {
+            if (examined >= MAX_EVENTS_PER_RUN) {
+                nextJob = id
+                return context.decisions.request()
+            }
+            val jobEvents = pending[id] ?: continue
+            val ready = readyEvents(id, jobEvents, anyTaskPending) { examined += it } ?: continue
+            // If not even the most urgent write is allowed, the rest waits as well.
+            if (!context.transactions.mayWrite(WriteCause.FINISH, 1)) return
+            if (commit(ready, term)) jobEvents.sinceNs = context.nowNs
         }
     }
 
-    /** Drops events whose attempt is no longer recorded. Returns the job, or null if no events are left. */
-    private fun dropStale(id: String, jobEvents: PendingEvents): Job? {
+    /** Events of [job] that may be committed now, in as many chunks as one transaction may change. */
+    private class ReadyEvents(val job: Job, val events: List<TaskEvent>, val urgent: Boolean)
+
+    private fun readyEvents(
+        id: String,
+        jobEvents: PendingTaskEvents,
+        anyTaskPending: () -> Boolean,
+        countExamined: (Int) -> Unit,
+    ): ReadyEvents? {
         val job = context.view.jobs[id]
-        jobEvents.byAttempt.values.removeIf { job?.placed(it.index)?.attempt != it.attempt }
-        if (job != null && jobEvents.byAttempt.isNotEmpty()) return job
-        pending.remove(id)
-        return null
+        if (job == null) {
+            pending.remove(id)
+            return null
+        }
+        if (context.transactions.isWritePending(StoreKeys.JOB + id)) return null
+        val events = eventsToCommit(job, jobEvents, countExamined)
+        if (jobEvents.isEmpty) pending.remove(id)
+        if (events.isEmpty()) return null
+        val urgent = isUrgent(job, jobEvents)
+        return if (urgent || isBatchDue(jobEvents, anyTaskPending)) ReadyEvents(job, events, urgent) else null
+    }
+
+    /**
+     * Returns the events of the first chunks that may be written now. Takes as many chunks as one transaction holds; the
+     * others follow in later ones. Drops the events there whose attempt is no longer recorded.
+     */
+    private fun eventsToCommit(job: Job, jobEvents: PendingTaskEvents, countExamined: (Int) -> Unit): List<TaskEvent> {
+        val result = ArrayList<TaskEvent>()
+        var chunks = 0
+        var examined = 0
+        for (number in jobEvents.chunks()) {
+            if (chunks >= maxChunks || examined >= MAX_EVENTS_PER_RUN) break
+            if (context.transactions.isWritePending(StoreKeys.chunk(job.id, number))) continue
+            val current = jobEvents.current(number, job)
+            examined += current.size + 1
+            // Checked at the commit rather than on arrival: a controller inside a lost zone may learn of the loss only
+            // after it has received the heartbeats that follow the zone's return.
+            val allowed = current.filterNot { context.zones?.mustDefer(it) ?: false }
+            if (allowed.isNotEmpty()) chunks++
+            result += allowed
+        }
+        countExamined(examined)
+        return result
     }
 
     /** Returns the jobs with events in commit order: by arrival, or the most urgent first during a zone recovery. */
@@ -88,11 +118,16 @@
     }
 
     /** Whether a restart, a gang, a cancellation or the end of this shard's part of the job depends on this commit. */
-    private fun isUrgent(job: Job, events: List<TaskEvent>): Boolean = job.isGang ||
+    private fun isUrgent(job: Job, events: PendingTaskEvents): Boolean = job.isGang ||
         job.cancelled ||
-        events.any { it is TaskEvent.Lost } ||
-        events.size >= job.placedCount ||
-        events.size >= job.allPlaced().count { isOwned(it.machineName) }
+        events.hasLoss ||
+        events.count >= job.placedCount ||
+        events.count >= ownedTaskCount(job)
+
+    private fun ownedTaskCount(job: Job): Int =
+        context.view.taskCountsOf(job.id).entries.sumOf { (machineName, count) ->
+            if (isOwned(machineName)) count else 0
+        }
 
     private fun isOwned(machineName: String): Boolean =
         context.view.machines[machineName]?.let { context.shards.owns(it) } ?: true
@@ -110,7 +145,7 @@
         job.spec.priority == Priority.IDLE
 
     /** Whether to commit completions of an array now: unless writes are plentiful, they are batched for a while. */
-    private fun isBatchDue(jobEvents: PendingEvents, anyTaskPending: () -> Boolean): Boolean {
+    private fun isBatchDue(jobEvents: PendingTaskEvents, anyTaskPending: () -> Boolean): Boolean {
         if (context.transactions.budget.hasAmpleWrites(context.nowNs)) return true
         val heartbeats = if (anyTaskPending()) BATCH_HEARTBEATS_IF_PENDING else BATCH_HEARTBEATS
         val waitNs = (context.settings.workers.heartbeatIntervalS * heartbeats * NANOS_PER_SECOND).toLong()
@@ -123,12 +158,7 @@
         val job = ready.job
         val cause = writeCause(job, ready.events, ready.urgent)
         if (!context.transactions.mayWrite(cause, 1)) return false
-        // Takes as many chunks as one transaction holds; the others follow in later ones.
-        val chunks = ready.events.mapTo(LinkedHashSet()) { it.index / job.chunkTasks }
-            .take(JobTransactions.maxChunks(context.settings.stateLimits))
-            .toSet()
-        if ((chunks + 0).any { context.transactions.isWritePending(StoreKeys.chunk(job.id, it)) }) return false
-        val events = ready.events.filter { it.index / job.chunkTasks in chunks }
+        val events = ready.events
         val backoffMs = context.settings.workers.heartbeatIntervalS * INITIAL_BACKOFF_HEARTBEATS * MILLIS_PER_SECOND
         val tracksLosses = context.subsystem != null
         val next = TaskEventRules.apply(job, events, context.nowMs, backoffMs.toLong(), tracksLosses)
@@ -187,6 +217,9 @@
     private companion object {
         val log = LoggerFactory.getLogger("flaxfield.jobs")
 
+        /** The number of events after which a run ends; the next one goes on from there. */
+        const val MAX_EVENTS_PER_RUN = 4_000
+
         /** The first retry delay of a job that fails on several machines, in heartbeat intervals; later ones double. */
         const val INITIAL_BACKOFF_HEARTBEATS = 2
 
--- a/src/main/kotlin/flaxfield/jobs/TaskEventRules.kt
+++ b/src/main/kotlin/flaxfield/jobs/TaskEventRules.kt
@@ -19,13 +19,16 @@
         backoffMs: Long,
         tracksLosses: Boolean = false,
     ): Job {
-        var result = applyCompletions(job, events)
-        for (event in events) {
-            if (event !is TaskEvent.Lost || !isRecorded(result, event)) continue
-            result = applyLoss(result, event, nowMs, backoffMs)
-            if (tracksLosses && !event.refused) result = result.interrupt(listOf(event.index))
+        val afterCompletions = applyCompletions(job, events)
+        val losses = events.filterIsInstance<TaskEvent.Lost>()
+            .filter { isRecorded(afterCompletions, it) }
+            .distinctBy { it.index }
+        if (losses.isEmpty()) return afterCompletions
+        var result = applyLosses(afterCompletions, losses)
+        for (loss in losses) {
+            if (loss.failed) result = recordFailure(result, loss.machineName, nowMs, backoffMs)
         }
-        return result
+        return if (tracksLosses) result.interrupt(losses.filterNot { it.refused }.map { it.index }) else result
     }
 
     private fun isRecorded(job: Job, event: TaskEvent): Boolean = job.placed(event.index)?.attempt == event.attempt
@@ -40,11 +43,10 @@
         }
     }
 
-    private fun applyLoss(job: Job, event: TaskEvent.Lost, nowMs: Long, backoffMs: Long): Job {
-        var result = job.free(listOf(event.index))
+    private fun applyLosses(job: Job, losses: List<TaskEvent.Lost>): Job {
+        val freed = job.free(losses.map { it.index })
         // A gang can't continue without one of its tasks: the others stop, and then all restart as one new attempt.
-        if (result.isGang) result = result.stop(result.allPlaced().map { it.index }.toList())
-        return if (event.failed) recordFailure(result, event.machineName, nowMs, backoffMs) else result
+        return if (freed.isGang) freed.stopAll() else freed
     }
 
     private fun recordFailure(job: Job, machineName: String, nowMs: Long, backoffMs: Long): Job {
--- a/src/main/kotlin/flaxfield/store/ClusterView.kt
+++ b/src/main/kotlin/flaxfield/store/ClusterView.kt
@@ -90,6 +90,9 @@
     /** Returns the number of tasks that are recorded on [machineName]. */
     fun taskCountOn(machineName: String): Int = records.placements.taskCountOn(machineName)
 
+    /** Returns the number of recorded tasks of [job] by machine name. */
+    fun taskCountsOf(job: String): Map<String, Int> = records.placements.taskCountsOf(job)
+
     /** Returns the resources of [machine] that its recorded tasks leave free; null if its type is unknown. */
     fun free(machine: Machine): Resources? = records.placements.free(machine, machineTypes, jobs)
 
--- a/src/main/kotlin/flaxfield/store/JobRecords.kt
+++ b/src/main/kotlin/flaxfield/store/JobRecords.kt
@@ -106,8 +106,7 @@
         after?.values?.forEach { if (before?.get(it.index) != it) placements.add(id, it) }
     }
 
-    private fun mustHalt(job: Job): Boolean =
-        job.placedCount > 0 && (job.cancelled || job.allPlaced().any { it.stopping })
+    private fun mustHalt(job: Job): Boolean = job.placedCount > 0 && (job.cancelled || job.hasStoppingTasks)
 
     private companion object {
         val HEAD_CHUNK = setOf(0)
--- a/src/main/kotlin/flaxfield/store/PlacementIndex.kt
+++ b/src/main/kotlin/flaxfield/store/PlacementIndex.kt
@@ -15,6 +15,9 @@
     /** Placements by machine name, job id and task index. */
     private val byMachine = HashMap<String, HashMap<String, HashMap<Int, Placement>>>()
 
+    /** The number of placements by job id and machine name. */
+    private val taskCountsByJob = HashMap<String, HashMap<String, Int>>()
+
     /** Free resources by machine name, computed on first use and invalidated when a placement there changes. */
     private val freeByMachine = HashMap<String, Resources>()
 
@@ -22,7 +25,8 @@
     fun add(jobId: String, placement: Placement) {
         freeByMachine.remove(placement.machineName)
         val jobsOnMachine = byMachine.getOrPut(placement.machineName) { HashMap() }
-        jobsOnMachine.getOrPut(jobId) { HashMap() }[placement.index] = placement
+        val replaced = jobsOnMachine.getOrPut(jobId) { HashMap() }.put(placement.index, placement)
+        if (replaced == null) taskCountsByJob.getOrPut(jobId) { HashMap() }.merge(placement.machineName, 1, Int::plus)
     }
 
     /** Removes a placement of [jobId], unless another attempt of the task has replaced it. */
@@ -30,11 +34,22 @@
         freeByMachine.remove(placement.machineName)
         val jobsOnMachine = byMachine[placement.machineName] ?: return
         val tasks = jobsOnMachine[jobId] ?: return
-        if (tasks[placement.index]?.attempt == placement.attempt) tasks.remove(placement.index)
+        if (tasks[placement.index]?.attempt != placement.attempt) return
+        tasks.remove(placement.index)
         if (tasks.isEmpty()) jobsOnMachine.remove(jobId)
         if (jobsOnMachine.isEmpty()) byMachine.remove(placement.machineName)
+        countRemoved(jobId, placement.machineName)
+    }
+
+    private fun countRemoved(jobId: String, machineName: String) {
+        val counts = taskCountsByJob[jobId] ?: return
+        counts.computeIfPresent(machineName) { _, count -> if (count > 1) count - 1 else null }
+        if (counts.isEmpty()) taskCountsByJob.remove(jobId)
     }
 
+    /** Returns the number of placements of [jobId] by machine name. */
+    fun taskCountsOf(jobId: String): Map<String, Int> = taskCountsByJob[jobId].orEmpty()
+
     /** Returns all placed tasks on [machineName], each with its job from [jobs]. */
     fun placedTasksOn(machineName: String, jobs: Map<String, Job>): List<PlacedTask> {
         val jobsOnMachine = byMachine[machineName] ?: return emptyList()
@@ -75,6 +90,7 @@
 
     fun clear() {
         byMachine.clear()
+        taskCountsByJob.clear()
         freeByMachine.clear()
     }
 }
--- a/src/main/kotlin/flaxfield/workers/GangWaitPolicy.kt
+++ b/src/main/kotlin/flaxfield/workers/GangWaitPolicy.kt
@@ -6,9 +6,6 @@
 import flaxfield.store.PlacedTask
 import org.slf4j.LoggerFactory
 
-/** Identifies one attempt of a task. */
-data class AttemptId(val job: String, val index: Int, val attempt: Long)
-
 /**
  * Decides whether a gang's task that ended as incomplete is started again. It is, as long as another member may still be
  * fetching the image. Confined to the owner thread.
@@ -49,7 +46,8 @@
         return spec.imageGb / gbPerS * MAX_FETCH_SLOWDOWN
     }
 
-    private fun attemptId(record: PlacedTask) = AttemptId(record.job.id, record.placed.index, record.placed.attempt)
+    private fun attemptId(record: PlacedTask) =
+        AttemptId(record.job.id, record.placed.index, record.placed.attempt.toULong())
 
     private companion object {
         val log = LoggerFactory.getLogger("flaxfield.workers")
--- a/src/main/kotlin/flaxfield/workers/HaltDispatcher.kt
+++ b/src/main/kotlin/flaxfield/workers/HaltDispatcher.kt
@@ -2,10 +2,21 @@
 
 import flaxfield.NANOS_PER_SECOND
 import flaxfield.controller.ControllerContext
+import flaxfield.jobs.Job
 import flaxfield.jobs.JobTransactions
 import flaxfield.store.StoreKeys
 import flaxfield.store.WriteCause
 import org.slf4j.LoggerFactory
+import java.util.TreeSet
+
+/** What the halts for one machine depend on; while it is the same, they are too. */
+data class HaltInputs(
+    val jobsVersion: Long,
+    val incarnation: ULong?,
+    val sequenceNumber: ULong?,
+    val heartbeatOverdue: Boolean,
+    val mayAct: Boolean,
+)
 
 /**
  * Sends halts to workers without waiting for their next heartbeat, and the term to workers whose heartbeats are
@@ -20,6 +31,9 @@
     private val heartbeatOverdueNs =
         (context.settings.workers.heartbeatIntervalS * OVERDUE_HEARTBEAT_INTERVALS * NANOS_PER_SECOND).toLong()
 
+    /** The machine at which the next round of halts starts; null if the last round checked all machines. */
+    private var nextMachine: String? = null
+
     /**
      * Stops the checkpointing tasks on a machine that the cloud is about to terminate, so that they resume elsewhere. A
      * gang whose tasks are all on this machine keeps running until the termination.
@@ -41,10 +55,19 @@
         val job = context.view.jobs[id] ?: return
         if (tasks.isEmpty()) return
         if (job.chunks.keys.any { context.transactions.isWritePending(StoreKeys.chunk(id, it)) }) return
-        val stopped = if (job.isGang) job.allPlaced().map { it.index }.toList() else tasks
-        val update = JobTransactions.update(job, job.stop(stopped), term)
+        val stopped = if (job.isGang) job.stopAll() else job.stop(withinOneTransaction(job, tasks))
+        val update = JobTransactions.update(job, stopped, term)
+        if (update.changes.isEmpty()) return
         val submitted = context.transactions.submit(WriteCause.GANG, JobTransactions.withLossMark(context, update))
-        if (submitted) log.info("event=tasks_stopping term={} job={} tasks={} reason={}", term, id, stopped, reason)
+        if (submitted) log.info("event=tasks_stopping term={} job={} tasks={} reason={}", term, id, tasks.size, reason)
+    }
+
+    /** Returns the [tasks] of an array whose chunks fit into one transaction; the others follow in later ones. */
+    private fun withinOneTransaction(job: Job, tasks: List<Int>): List<Int> {
+        val chunks = tasks.mapTo(LinkedHashSet()) { it / job.chunkTasks }
+            .take(JobTransactions.maxChunks(context.settings.stateLimits))
+            .toSet()
+        return tasks.filter { it / job.chunkTasks in chunks }
     }
 
     /**
@@ -58,34 +81,61 @@
         val term = context.view.assignment?.term ?: return
         if (context.view.halting.isEmpty()) return
         val mayAct = context.leadership.mayAct()
-        for (machineName in machinesToHalt(mayAct)) {
-            val zone = zoneOf(machineName) ?: continue
-            if (context.shards.owns(machineName, zone)) haltOn(machineName, term, mayAct)
+        val machines = ownedMachinesWithHalts(mayAct)
+        val start = machines.indexOf(nextMachine).coerceAtLeast(0)
+        nextMachine = null
+        var checkedTasks = 0
+        for (machineName in machines.drop(start) + machines.take(start)) {
+            if (checkedTasks >= MAX_CHECKED_TASKS) {
+                nextMachine = machineName
+                return context.decisions.request()
+            }
+            if (haltOn(machineName, term, mayAct)) checkedTasks += context.view.taskCountOn(machineName)
         }
     }
 
-    private fun machinesToHalt(mayAct: Boolean): Set<String> = context.view.halting.flatMapTo(LinkedHashSet()) { id ->
-        val job = context.view.jobs[id]
-        job?.allPlaced()?.filter { job.cancelled || mayAct && it.stopping }?.map { it.machineName }?.toList().orEmpty()
+    /** Returns the machines of this shard that run tasks of jobs with a task to halt, in the order of their names. */
+    private fun ownedMachinesWithHalts(mayAct: Boolean): List<String> {
+        val names = TreeSet<String>()
+        for (id in context.view.halting) {
+            if (mayAct || context.view.jobs[id]?.cancelled == true) names += context.view.taskCountsOf(id).keys
+        }
+        return names.filter { machineName ->
+            zoneOf(machineName)?.let { context.shards.owns(machineName, it) } ?: false
+        }
     }
 
     private fun zoneOf(machineName: String): String? =
         context.view.machines[machineName]?.zone ?: workerHealth.workerStateOrNull(machineName)?.heartbeat?.zone
 
-    private fun haltOn(machineName: String, term: ULong, mayAct: Boolean) {
+    /** Sends the halts that are due on [machineName]. Returns whether its tasks had to be checked. */
+    private fun haltOn(machineName: String, term: ULong, mayAct: Boolean): Boolean {
         val workerState = workerHealth.workerState(machineName)
-        if (context.nowNs - workerState.haltSentNs < heartbeatIntervalNs) return
+        if (context.nowNs - workerState.haltSentNs < heartbeatIntervalNs) return false
+        val inputs = haltInputs(workerState, mayAct)
+        if (inputs == workerState.inputsWithoutHalts) return false
+        workerState.inputsWithoutHalts = null
         val halts = HeartbeatReconciler.directHalts(
             context.view.placedTasksOn(machineName),
             workerState.heartbeat,
-            isHeartbeatOverdue(workerState),
+            inputs.heartbeatOverdue,
             mayAct,
         )
-        if (halts.isEmpty() || !sendDirect(workerState, term, halts)) return
+        if (halts.isEmpty()) workerState.inputsWithoutHalts = inputs
+        if (halts.isEmpty() || !sendDirect(workerState, term, halts)) return true
         workerState.haltSentNs = context.nowNs
         log.debug("event=direct_halt term={} machine={} commands={}", term, machineName, halts)
+        return true
     }
 
+    private fun haltInputs(workerState: WorkerState, mayAct: Boolean) = HaltInputs(
+        context.view.jobsVersion,
+        workerState.heartbeat?.incarnation,
+        workerState.heartbeat?.sequenceNumber,
+        isHeartbeatOverdue(workerState),
+        mayAct,
+    )
+
     private fun isHeartbeatOverdue(workerState: WorkerState): Boolean = context.nowNs - workerState.lastHeartbeatNs >
         context.settings.workers.heartbeatIntervalS * OVERDUE_HEARTBEAT_INTERVALS * NANOS_PER_SECOND
 
@@ -111,10 +161,10 @@
         }
     }
 
-    /** Sends [commands]; returns false if the worker's address is unknown or too many requests are in flight. */
-    private fun sendDirect(workerState: WorkerState, term: ULong, commands: List<WorkerCommand>): Boolean {
+    /** Sends [halts]; returns false if the worker's address is unknown or too many requests are in flight. */
+    private fun sendDirect(workerState: WorkerState, term: ULong, halts: List<WorkerCommand.Halt>): Boolean {
         val endpoint = endpointOf(workerState) ?: return false
-        val message = HeartbeatCodec.encodeDirect(term, endpoint.incarnation, commands)
+        val message = HeartbeatCodec.encodeDirect(term, endpoint.incarnation, halts)
         return direct.send(endpoint.address, message, context.post)
     }
 
@@ -143,5 +193,8 @@
 
         /** A worker's heartbeat is overdue after this many heartbeat intervals. */
         const val OVERDUE_HEARTBEAT_INTERVALS = 2.0
+
+        /** The number of tasks after whose check a round of halts ends; the next round goes on from there. */
+        const val MAX_CHECKED_TASKS = 4_000
     }
 }
--- a/src/main/kotlin/flaxfield/workers/Heartbeat.kt
+++ b/src/main/kotlin/flaxfield/workers/Heartbeat.kt
@@ -36,6 +36,9 @@
     UNKNOWN,
 }
 
+/** Identifies one attempt of a task. */
+data class AttemptId(val job: String, val index: Int, val attempt: ULong)
+
 /** The status of one task on a machine, as its worker reports it; [cause] is set if and only if the task has ended. */
 data class TaskStatus(val job: String, val index: Int, val attempt: ULong, val state: TaskState, val cause: EndCause?)
 
@@ -54,6 +57,13 @@
     val terminationNoticeS: Double?,
     val tasks: List<TaskStatus>,
 ) {
+    private val taskByAttempt: Map<AttemptId, TaskStatus> by lazy(LazyThreadSafetyMode.NONE) {
+        tasks.associateBy { AttemptId(it.job, it.index, it.attempt) }
+    }
+
+    /** Returns the status of an attempt; null if this heartbeat does not report it. */
+    fun task(attempt: AttemptId): TaskStatus? = taskByAttempt[attempt]
+
     /** Whether this heartbeat is newer than the one with the given incarnation and sequence number. */
     fun isNewerThan(incarnation: ULong, sequenceNumber: ULong): Boolean =
         this.incarnation > incarnation || (this.incarnation == incarnation && this.sequenceNumber > sequenceNumber)
--- a/src/main/kotlin/flaxfield/workers/HeartbeatCodec.kt
+++ b/src/main/kotlin/flaxfield/workers/HeartbeatCodec.kt
@@ -108,9 +108,12 @@
         "orders" to commands.map(::encodeCommand),
     )
 
-    /** Encodes a direct command, sent without a heartbeat; a worker of another [incarnation] ignores it. */
-    fun encodeDirect(fencingToken: ULong, incarnation: ULong, commands: List<WorkerCommand>): Map<String, Any?> =
-        encode(fencingToken, commands) + mapOf("tenure" to incarnation)
+    /**
+     * Encodes a direct command, sent without a heartbeat; a worker of another [incarnation] ignores it. It never
+     * contains a launch: it may be executed late, when the task has been moved, has ended or is cancelled.
+     */
+    fun encodeDirect(fencingToken: ULong, incarnation: ULong, halts: List<WorkerCommand.Halt>): Map<String, Any?> =
+        encode(fencingToken, halts) + mapOf("tenure" to incarnation)
 
     private fun encodeCommand(command: WorkerCommand): Map<String, Any?> = buildMap {
         put("verb", verb(command))
--- a/src/main/kotlin/flaxfield/workers/HeartbeatReconciler.kt
+++ b/src/main/kotlin/flaxfield/workers/HeartbeatReconciler.kt
@@ -140,9 +140,7 @@
     ): List<WorkerCommand.Halt> = records.mapNotNull { record ->
         val job = record.job
         if (!job.cancelled && !(mayStop && record.placed.stopping)) return@mapNotNull null
-        val task = heartbeat?.tasks?.firstOrNull {
-            it.job == job.id && it.index == record.placed.index && it.attempt == attemptOf(record)
-        }?.takeUnless {
+        val task = heartbeat?.task(AttemptId(job.id, record.placed.index, attemptOf(record)))?.takeUnless {
             // The response to that heartbeat may have started the attempt again.
             heartbeatOverdue && it.cause == EndCause.INCOMPLETE
         }
--- a/src/main/kotlin/flaxfield/workers/OwnedHeartbeatHandler.kt
+++ b/src/main/kotlin/flaxfield/workers/OwnedHeartbeatHandler.kt
@@ -119,9 +119,7 @@
 
     private fun logStateChanges(previous: Heartbeat?, current: Heartbeat) {
         for (task in current.tasks) {
-            val before = previous?.tasks?.firstOrNull {
-                it.job == task.job && it.index == task.index && it.attempt == task.attempt
-            }
+            val before = previous?.task(AttemptId(task.job, task.index, task.attempt))
             if (before?.state == task.state) continue
             log.debug(
                 "event=task_state_changed job={} task={} attempt={} machine={} state={} reason={}",
--- a/src/main/kotlin/flaxfield/workers/ResponseReachability.kt
+++ b/src/main/kotlin/flaxfield/workers/ResponseReachability.kt
@@ -35,9 +35,8 @@
         }
     }
 
-    private fun isReported(launch: WorkerCommand.Launch, heartbeat: Heartbeat): Boolean = heartbeat.tasks.any {
-        it.job == launch.job && it.index == launch.index && it.attempt == launch.attempt
-    }
+    private fun isReported(launch: WorkerCommand.Launch, heartbeat: Heartbeat): Boolean =
+        heartbeat.task(AttemptId(launch.job, launch.index, launch.attempt)) != null
 
     /** Returns the state after a response with [commands] is sent to [heartbeat]. */
     fun afterResponse(
--- a/src/main/kotlin/flaxfield/workers/WorkerState.kt
+++ b/src/main/kotlin/flaxfield/workers/WorkerState.kt
@@ -54,6 +54,9 @@
     /** When halts were last sent by a direct command. */
     var haltSentNs: Long = 0
 
+    /** The inputs of the latest check that found no task to halt; null if the latest check found one. */
+    var inputsWithoutHalts: HaltInputs? = null
+
     /** Records that [image] is on the machine, and removes the least recently used images beyond the cache size. */
     fun recordImage(image: String, imageGb: Double, cacheGb: Double) {
         images.remove(image)
