Fix: gangs no longer fill a machine beyond what its report may hold

The lease of a sound machine runs out, all its tasks are killed and placed there again, and no job on it is ever done.

Cause: the limit on the tasks of a machine was a fixed 300 that only arrays and the capacity plan applied.

Change: one limit in bytes of the JSON form that PROTOCOL counts, from the longest entry that a task of the job can take in a report (MessageSize). MachineRoom holds it together with the free resources and is the only place that decides how many tasks fit; the schedulers of gangs and arrays, preemption, the capacity plan, the offers, the stall monitor, admission and `explain job` ask it. A gang is now placed machine by machine, not task by task. An owner starts no more tasks than the next report can hold, so that a machine that an earlier build overfilled recovers, and it cuts a response at 64 KiB: halts first, then clears, then launches; the next responses carry the rest.

The simulation rejects reports above 64 KiB of JSON and records larger responses, measured with Jackson, not with the product's own computation.

--- a/src/main/kotlin/flaxfield/arrays/ArrayCandidates.kt
+++ b/src/main/kotlin/flaxfield/arrays/ArrayCandidates.kt
@@ -6,7 +6,6 @@
 import flaxfield.jobs.Job
 import flaxfield.jobs.Resources
 import flaxfield.store.StoreKeys
-import flaxfield.workers.HeartbeatReconciler
 import flaxfield.workers.WorkerHealth
 
 /** Selects the machines of this controller's shard that accept array tasks now, and those suitable for a job. */
@@ -33,19 +32,16 @@
 
     private fun candidate(machine: Machine, minimum: Resources): PlacementCandidate? {
         val view = context.view
-        val free = view.free(machine)?.takeIf { it.canHold(minimum) } ?: return null
+        val room = view.room(machine)?.takeIf { it.resources.canHold(minimum) } ?: return null
         if (!isOpen(machine)) return null
         val workerState = workerHealth.workerState(machine.name)
         val heartbeat = workerState.heartbeat ?: return null
-        val taskSlots = HeartbeatReconciler.MAX_TASKS_PER_MACHINE - view.taskCountOn(machine.name)
-        if (taskSlots <= 0) return null
         return PlacementCandidate(
             machine,
             heartbeat.incarnation,
-            free,
+            room,
             workerState.images.keys,
             view.isEmpty(machine.name),
-            taskSlots,
         )
     }
 
@@ -57,7 +53,7 @@
 
     /** Returns those of [candidates] that a task of [job] may be placed on now. */
     fun eligible(job: Job, candidates: List<PlacementCandidate>): List<PlacementCandidate> =
-        candidates.filter { it.free.canHold(job.spec.taskResources) && isSuitable(job, it) }
+        candidates.filter { it.room.canHold(job.spec) && isSuitable(job, it) }
 
     /**
      * Whether [job] may use the candidate's machine type and kind (spot or on-demand), given the reservations for them.
--- a/src/main/kotlin/flaxfield/arrays/ArrayPlacement.kt
+++ b/src/main/kotlin/flaxfield/arrays/ArrayPlacement.kt
@@ -36,8 +36,7 @@
                 val task = tasks.next()
                 chunks += task / job.chunkTasks
                 placed[task] = candidate
-                candidate.free -= spec.taskResources
-                candidate.taskSlots--
+                candidate.assume(spec)
                 topology.add(candidate.machine.zone)
             }
         }
@@ -45,9 +44,7 @@
     }
 
     private fun fitsOneMore(candidate: PlacementCandidate, spec: JobSpec, topology: TopologyConstraint): Boolean =
-        candidate.taskSlots > 0 &&
-            candidate.free.canHold(spec.taskResources) &&
-            topology.allows(candidate.machine.zone)
+        candidate.room.canHold(spec) && topology.allows(candidate.machine.zone)
 
     /** Prefers spot machines where the job may use them, then machines with its image, then the fullest. */
     private fun binPackingOrder(spec: JobSpec) = compareBy<PlacementCandidate> {
--- a/src/main/kotlin/flaxfield/arrays/ArrayTaskPlacer.kt
+++ b/src/main/kotlin/flaxfield/arrays/ArrayTaskPlacer.kt
@@ -83,12 +83,7 @@
             logOutcome(placedJob, placement, term, outcome)
         }
         if (sent) {
-            inFlight.add(
-                job.id,
-                base.changes.map { it.key },
-                placement.values.map { it.machine.name },
-                job.spec.taskResources,
-            )
+            inFlight.add(job.spec, base.changes.map { it.key }, placement.values.map { it.machine.name })
         }
     }
 
--- a/src/main/kotlin/flaxfield/arrays/HeadOfLineReservations.kt
+++ b/src/main/kotlin/flaxfield/arrays/HeadOfLineReservations.kt
@@ -1,6 +1,7 @@
 package flaxfield.arrays
 
 import flaxfield.jobs.JobSpec
+import flaxfield.jobs.MachineRoom
 import flaxfield.jobs.Resources
 
 /**
@@ -35,7 +36,7 @@
         for (candidate in eligible.sortedWith(MOST_FREE_FIRST)) {
             if (remaining <= 0) return
             reservedFor[candidate.machine.name] = spec
-            remaining -= capacityOf(candidate).countFitting(spec.taskResources).coerceAtLeast(1)
+            remaining -= MachineRoom(capacityOf(candidate)).countFitting(spec).coerceAtLeast(1)
         }
     }
 
--- a/src/main/kotlin/flaxfield/arrays/InitialPlacement.kt
+++ b/src/main/kotlin/flaxfield/arrays/InitialPlacement.kt
@@ -32,7 +32,7 @@
         if (placement.size < job.spec.taskCount) return null
         val placed = job.place(placement.mapValues { (_, candidate) -> candidate.target() })
         val machineNames = placement.values.map { it.machine.name }
-        inFlight.add(job.id, listOf(StoreKeys.JOB + job.id), machineNames, job.spec.taskResources)
+        inFlight.add(job.spec, listOf(StoreKeys.JOB + job.id), machineNames)
         val conditions = JobTransactions.update(job, placed, term).conditions + machineVersions(placement.values)
         return InitialPlacement(placed, conditions)
     }
--- a/src/main/kotlin/flaxfield/arrays/MachineDrainer.kt
+++ b/src/main/kotlin/flaxfield/arrays/MachineDrainer.kt
@@ -53,19 +53,18 @@
         isGuaranteed: Boolean,
         usage: TeamUsage,
     ): List<PlacedTask> {
-        var free = context.view.free(machine) ?: return emptyList()
-        val required = gang.spec.taskResources * tasks
+        var room = context.view.room(machine) ?: return emptyList()
         val placedTasks = context.view.placedTasksOn(machine.name)
         for (task in placedTasks) {
-            if (task.placed.stopping || task.job.cancelled) free += task.job.spec.taskResources
+            if (task.placed.stopping || task.job.cancelled) room = room.plus(task.job.spec)
         }
         val preemptible = placedTasks.filter {
             !it.placed.stopping && !it.job.isGang && JobOrder.mayPreempt(gang, isGuaranteed, it.job, usage)
         }
         val victims = ArrayList<PlacedTask>()
         for (task in preemptible.sortedWith(EvictionOrder)) {
-            if (free.canHold(required)) break
-            free += task.job.spec.taskResources
+            if (room.countFitting(gang.spec) >= tasks) break
+            room = room.plus(task.job.spec)
             victims += task
         }
         return victims
--- a/src/main/kotlin/flaxfield/arrays/TopologyConstraint.kt
+++ b/src/main/kotlin/flaxfield/arrays/TopologyConstraint.kt
@@ -30,9 +30,16 @@
         else -> true
     }
 
-    /** Counts one more task in [zone]. */
-    fun add(zone: String) {
-        tasksByZone.merge(zone, 1, Int::plus)
+    /** Returns how many more tasks may be placed in [zone]. */
+    fun maxMoreTasks(zone: String): Int = when {
+        !allows(zone) -> 0
+        spec.spreadAcrossZones -> maxTasksInZone - (tasksByZone[zone] ?: 0)
+        else -> Int.MAX_VALUE
+    }
+
+    /** Counts [count] more tasks in [zone]. */
+    fun add(zone: String, count: Int = 1) {
+        tasksByZone.merge(zone, count, Int::plus)
     }
 
     companion object {
--- a/src/main/kotlin/flaxfield/fleet/BinPacker.kt
+++ b/src/main/kotlin/flaxfield/fleet/BinPacker.kt
@@ -1,21 +1,22 @@
 package flaxfield.fleet
 
 import flaxfield.arrays.TopologyConstraint
+import flaxfield.jobs.JobSpec
+import flaxfield.jobs.MachineRoom
 import flaxfield.jobs.Resources
-import flaxfield.workers.HeartbeatReconciler
 
-/** The free resources of a machine that exists ([machineName] is set) or has been requested. */
+/** The room on a machine that exists ([machineName] is set) or has been requested. */
 class Bin(
     val machineName: String?,
     val machineType: String,
     val zone: String,
     val preemptible: Boolean,
-    var free: Resources,
-    /** The number of further tasks that the machine's heartbeat can report. */
-    var taskSlots: Int = HeartbeatReconciler.MAX_TASKS_PER_MACHINE,
+    var room: MachineRoom,
 ) {
-    /** Returns how many more tasks that request [resources] each fit. */
-    fun countFitting(resources: Resources): Int = minOf(taskSlots, free.countFitting(resources))
+    /** Reduces the room by [count] tasks of [spec]. */
+    fun assume(spec: JobSpec, count: Int) {
+        room = room.minus(spec, count)
+    }
 }
 
 /** The [tasks] of a demand for which neither a bin nor an offer was found, in [zone] if the demand was bound to it. */
@@ -40,14 +41,15 @@
     private val filter: MachineKindFilter,
     private val maxNewMachines: Int,
 ) {
-    /** Packs [demands] into [bins], both in the given order, and reduces the bins' free resources accordingly. */
+    /** Packs [demands] into [bins], both in the given order, and reduces the bins' room accordingly. */
     fun pack(demands: List<CapacityDemand>, bins: List<Bin>): PackingResult {
         val run = PackingRun(offers, BinFilter(filter), maxNewMachines, bins)
         val smallestRequest = smallestRequest(demands)
+        val smallestReportBytes = demands.minOfOrNull { it.spec.reportBytes } ?: 0
         for (demand in demands) {
             run.place(demand)
             // Without this, each further demand would scan all full bins again.
-            run.closeBins(smallestRequest)
+            run.closeBins(smallestRequest, smallestReportBytes)
         }
         return run.result()
     }
@@ -68,7 +70,6 @@
             bin.machineName !in demand.excludedMachines &&
             (demand.isStarved && bin.machineName != null || filter(demand.spec, bin.machineType, bin.preemptible)) &&
             (bin.preemptible || demand.mayUseOnDemand) &&
-            bin.taskSlots > 0 &&
-            bin.free.canHold(demand.spec.taskResources) &&
+            bin.room.canHold(demand.spec) &&
             topology.allows(bin.zone)
 }
--- a/src/main/kotlin/flaxfield/fleet/OfferSelector.kt
+++ b/src/main/kotlin/flaxfield/fleet/OfferSelector.kt
@@ -2,6 +2,7 @@
 
 import flaxfield.arrays.TopologyConstraint
 import flaxfield.jobs.JobSpec
+import flaxfield.jobs.MachineRoom
 import java.util.TreeSet
 
 /** Decides whether tasks of a job may run on machines of a type and kind (spot or on-demand). */
@@ -92,7 +93,7 @@
 
     private fun tasksPerMachine(machineType: MachineType, spec: JobSpec, tasks: Int): Int {
         if (spec.machineTypes != null && machineType.label !in spec.machineTypes) return 0
-        return minOf(machineType.capacity.countFitting(spec.taskResources), tasks)
+        return minOf(MachineRoom(machineType.capacity).countFitting(spec), tasks)
     }
 
     private fun loadWith(zone: String, planned: Map<Offer, Int>): Double =
--- a/src/main/kotlin/flaxfield/fleet/PackingRun.kt
+++ b/src/main/kotlin/flaxfield/fleet/PackingRun.kt
@@ -2,6 +2,7 @@
 
 import flaxfield.arrays.TopologyConstraint
 import flaxfield.jobs.JobKind
+import flaxfield.jobs.MachineRoom
 import flaxfield.jobs.Resources
 
 /** The state of one packing: the bins with free resources, and the machines used and added so far. Not reused. */
@@ -21,9 +22,11 @@
     /** Returns the result of all placements so far. */
     fun result() = PackingResult(newMachines, usedMachines, unmet)
 
-    /** Discards the bins that can't hold a task of [smallestRequest]. */
-    fun closeBins(smallestRequest: Resources) {
-        openBins.removeIf { it.taskSlots <= 0 || !it.free.canHold(smallestRequest) }
+    /** Discards the bins that can't hold a task of [smallestRequest], which is reported in [smallestReportBytes]. */
+    fun closeBins(smallestRequest: Resources, smallestReportBytes: Int) {
+        openBins.removeIf {
+            it.room.reportBytes < smallestReportBytes || !it.room.resources.canHold(smallestRequest)
+        }
     }
 
     /** Places the tasks of [demand] into open bins, and adds machines for the rest. */
@@ -53,9 +56,8 @@
             val bin = openBins[index]
             // With a spread constraint, each placed task may change the zones allowed for the next one.
             val maxTasks = if (spec.spreadAcrossZones) 1 else remaining
-            val placed = minOf(maxTasks, bin.countFitting(spec.taskResources))
-            bin.free -= spec.taskResources * placed
-            bin.taskSlots -= placed
+            val placed = minOf(maxTasks, bin.room.countFitting(spec))
+            bin.assume(spec, placed)
             bin.machineName?.let(usedMachines::add)
             topology.add(bin.zone)
             remaining -= placed
@@ -76,6 +78,7 @@
         val offer = offers.select(demand, tasks, topology, newMachines) ?: return null
         newMachines.merge(offer, 1, Int::plus)
         newMachineCount++
-        return Bin(null, offer.machineType, offer.zone, offer.preemptible, offers.machineType(offer).capacity)
+        val room = MachineRoom(offers.machineType(offer).capacity)
+        return Bin(null, offer.machineType, offer.zone, offer.preemptible, room)
     }
 }
--- a/src/main/kotlin/flaxfield/fleet/ScaleOutPlanner.kt
+++ b/src/main/kotlin/flaxfield/fleet/ScaleOutPlanner.kt
@@ -3,8 +3,7 @@
 import flaxfield.arrays.MachineHealth
 import flaxfield.controller.ControllerContext
 import flaxfield.jobs.Job
-import flaxfield.jobs.Resources
-import flaxfield.workers.HeartbeatReconciler
+import flaxfield.jobs.MachineRoom
 
 /**
  * Plans which machines to rent: packs the demand into existing and requested machines, requests the missing ones, and
@@ -81,7 +80,7 @@
     }
 
     /**
-     * Returns the free resources of existing and requested machines in packing order. Spot machines come first, since
+     * Returns the room on existing and requested machines in packing order. Spot machines come first, since
      * each one used saves the wait for another machine to boot. Within a kind, machines with the most cached images
      * come first, so that the machines kept as spares are those on which tasks start soonest.
      */
@@ -89,9 +88,9 @@
         val bins = ArrayList<Bin>()
         context.view.machines.values.sortedBy { it.name }.mapNotNullTo(bins, ::bin)
         for (rental in context.view.rentals.values) {
-            val resources = context.view.machineTypes[rental.machineType]?.capacity ?: continue
+            val capacity = context.view.machineTypes[rental.machineType]?.capacity ?: continue
             repeat(scaleOut.pendingMachines(rental)) {
-                bins += Bin(null, rental.machineType, rental.zone, rental.preemptible, resources)
+                bins += Bin(null, rental.machineType, rental.zone, rental.preemptible, MachineRoom(capacity))
             }
         }
         val imageCounts = bins.associateWith { bin ->
@@ -104,9 +103,8 @@
     private fun bin(machine: Machine): Bin? {
         if (!machine.isSchedulable || context.view.activeReservation(machine) != null) return null
         if (context.zones?.isReachable(machine) == false || !isUpOrBooting(machine)) return null
-        val free = freeWithoutBackfill(machine) ?: return null
-        val taskSlots = HeartbeatReconciler.MAX_TASKS_PER_MACHINE - context.view.taskCountOn(machine.name)
-        return Bin(machine.name, machine.machineType, machine.zone, machine.preemptible, free, taskSlots)
+        val room = roomWithoutBackfill(machine) ?: return null
+        return Bin(machine.name, machine.machineType, machine.zone, machine.preemptible, room)
     }
 
     /** Whether [machine] is up or still booting; a machine with an overdue boot is replaced. */
@@ -120,11 +118,11 @@
             else -> false
         }
 
-    /** Returns the free resources of [machine] without its backfill tasks, which can be preempted. */
-    private fun freeWithoutBackfill(machine: Machine): Resources? {
-        val free = context.view.free(machine) ?: return null
-        return context.view.jobsOn(machine.name).filter { isBackfill(it, machine) }.fold(free) { sum, job ->
-            sum + job.spec.taskResources * context.view.taskCountOn(machine.name, job.id)
+    /** Returns the room on [machine] without its backfill tasks, which can be preempted. */
+    private fun roomWithoutBackfill(machine: Machine): MachineRoom? {
+        val room = context.view.room(machine) ?: return null
+        return context.view.jobsOn(machine.name).filter { isBackfill(it, machine) }.fold(room) { sum, job ->
+            sum.plus(job.spec, context.view.taskCountOn(machine.name, job.id))
         }
     }
 
--- a/src/main/kotlin/flaxfield/fleet/ZoneSelector.kt
+++ b/src/main/kotlin/flaxfield/fleet/ZoneSelector.kt
@@ -44,7 +44,7 @@
         val tasksByZone = TreeMap<String, Int>()
         for (bin in bins) {
             if (!filter.accepts(bin, demand, topology)) continue
-            val tasks = minOf(demand.tasks, bin.countFitting(demand.spec.taskResources))
+            val tasks = minOf(demand.tasks, bin.room.countFitting(demand.spec))
             tasksByZone.merge(bin.zone, tasks, Int::plus)
         }
         return tasksByZone
--- a/src/main/kotlin/flaxfield/gangs/GangCandidates.kt
+++ b/src/main/kotlin/flaxfield/gangs/GangCandidates.kt
@@ -31,7 +31,7 @@
             if (shapes.none { TopologyConstraint.allowsMachine(it, machine) }) return@mapNotNull null
             val candidate = openCandidate(machine) ?: return@mapNotNull null
             candidate.takeIf {
-                shapes.any { shape -> candidate.free.canHold(shape.taskResources) } || mayBeEvicted(machine.name)
+                shapes.any { shape -> candidate.room.canHold(shape) } || mayBeEvicted(machine.name)
             }
         }
 
@@ -40,9 +40,9 @@
         var count = 0
         for (machine in context.view.machines.values) {
             if (!machine.isSchedulable || !acceptsPlacements(machine)) continue
-            val free = context.view.free(machine) ?: continue
+            val room = context.view.room(machine) ?: continue
             count += shapes.filter { TopologyConstraint.allowsMachine(it, machine) }
-                .sumOf { free.countFitting(it.taskResources) }
+                .sumOf { room.countFitting(it) }
         }
         return count
     }
@@ -53,14 +53,15 @@
         if (machine.isSchedulable && acceptsPlacements(machine)) candidate(machine, status) else null
     }
 
+    /** Whether [machine] may be reserved for a gang: it is healthy, accepts tasks and is not reserved. */
+    fun isOpen(machine: Machine): Boolean = machine.isSchedulable &&
+        context.view.activeReservation(machine) == null &&
+        !context.transactions.isWritePending(StoreKeys.MACHINE + machine.name) &&
+        acceptsPlacements(machine) &&
+        healthyStatus(machine.name) != null
+
     private fun openCandidate(machine: Machine): PlacementCandidate? {
-        if (!machine.isSchedulable ||
-            context.view.activeReservation(machine) != null ||
-            context.transactions.isWritePending(StoreKeys.MACHINE + machine.name) ||
-            !acceptsPlacements(machine)
-        ) {
-            return null
-        }
+        if (!isOpen(machine)) return null
         return healthyStatus(machine.name)?.let { candidate(machine, it) }
     }
 
@@ -70,9 +71,9 @@
         context.view.machineStatus(machineName)?.takeIf { it.health == MachineHealth.OK }
 
     private fun candidate(machine: Machine, status: MachineStatus): PlacementCandidate? {
-        val free = context.view.free(machine) ?: return null
+        val room = context.view.room(machine) ?: return null
         val isEmpty = context.view.isEmpty(machine.name)
-        return PlacementCandidate(machine, status.incarnation, free, status.images, isEmpty)
+        return PlacementCandidate(machine, status.incarnation, room, status.images, isEmpty)
     }
 
     /**
--- a/src/main/kotlin/flaxfield/gangs/GangPlacement.kt
+++ b/src/main/kotlin/flaxfield/gangs/GangPlacement.kt
@@ -12,9 +12,12 @@
         /** Whether all machines have the image of [spec] cached. */
         fun hasImage(spec: JobSpec): Boolean = candidates.values.all { spec.image in it.images }
 
+        /** Returns the number of members on each candidate. */
+        fun tasksByCandidate(): Map<PlacementCandidate, Int> = candidates.values.groupingBy { it }.eachCount()
+
         /** Returns the assumed resources of [spec]'s tasks to the candidates. */
         fun release(spec: JobSpec) {
-            for (candidate in candidates.values) candidate.free += spec.taskResources
+            for ((candidate, count) in tasksByCandidate()) candidate.release(spec, count)
         }
     }
 
@@ -34,8 +37,8 @@
     fun minMembers(job: Job): Int = job.spec.taskCount
 
     /**
-     * Assumes a machine for each task of [job] at [nowMs] in turn, and stops once the assumed plus the untried tasks are fewer than the
-     * minimum. For a gang bound to one zone, tries the zones one by one: first those with a machine that has its image,
+     * Assumes a machine for each task of [job] at [nowMs], machine by machine, and stops once the assumed plus the untried
+     * tasks are fewer than the minimum. For a gang bound to one zone, tries the zones one by one: first those with a machine that has its image,
      * then those with the most candidates.
      */
     fun place(job: Job, candidates: List<PlacementCandidate>, nowMs: Long): GangPlacementResult {
@@ -59,29 +62,26 @@
         val minimum = minMembers(job)
         // Stops before the first task if the free resources alone show that the minimum can't be reached. They don't
         // determine the result for a gang that is spread over zones.
-        val fitting = eligible.sumOf { minOf(it.free.countFitting(spec.taskResources), spec.taskCount) }
+        val fitting = eligible.sumOf { minOf(it.room.countFitting(spec), spec.taskCount) }
         if (fitting < minimum && !spec.spreadAcrossZones) {
             return GangPlacementResult.Infeasible(fitting, minimum - fitting - 1)
         }
         val topology = TopologyConstraint(spec, emptyList())
         val assumed = LinkedHashMap<Int, PlacementCandidate>()
-        val ordered = eligible.sortedWith(preferenceOrder(spec))
-        for (task in 0 until spec.taskCount) {
-            val candidate = ordered.firstOrNull {
-                it.free.canHold(spec.taskResources) && topology.allows(it.machine.zone)
-            }
-            if (candidate != null) {
-                candidate.free -= spec.taskResources
-                topology.add(candidate.machine.zone)
-                assumed[task] = candidate
-            }
-            val untriedTasks = spec.taskCount - task - 1
-            if (untriedTasks + assumed.size < minimum) {
-                for (taken in assumed.values) taken.free += spec.taskResources
-                return GangPlacementResult.Infeasible(assumed.size, untriedTasks)
-            }
+        for (candidate in eligible.sortedWith(preferenceOrder(spec))) {
+            val zone = candidate.machine.zone
+            val remaining = spec.taskCount - assumed.size
+            val count = minOf(remaining, candidate.room.countFitting(spec), topology.maxMoreTasks(zone))
+            if (count <= 0) continue
+            candidate.assume(spec, count)
+            topology.add(zone, count)
+            repeat(count) { assumed[assumed.size] = candidate }
+            if (assumed.size == spec.taskCount) break
         }
-        return GangPlacementResult.Feasible(assumed)
+        val result = GangPlacementResult.Feasible(assumed)
+        if (assumed.size >= minimum) return result
+        result.release(spec)
+        return GangPlacementResult.Infeasible(assumed.size, spec.taskCount - assumed.size - 1)
     }
 
     /** Prefers machines with the image, then empty machines, then spot machines where allowed, then the fullest. */
--- a/src/main/kotlin/flaxfield/gangs/GangSchedulingCycle.kt
+++ b/src/main/kotlin/flaxfield/gangs/GangSchedulingCycle.kt
@@ -6,8 +6,8 @@
 import flaxfield.controller.ControllerContext
 import flaxfield.fleet.Machine
 import flaxfield.jobs.Job
+import flaxfield.jobs.MachineRoom
 import flaxfield.jobs.Priority
-import flaxfield.jobs.Resources
 import flaxfield.quota.JobOrder
 import flaxfield.quota.TeamUsage
 
@@ -35,7 +35,7 @@
     val term: ULong,
 ) {
     private val infeasible = InfeasibleShapes(context.nowMs)
-    private val reclaimableByScope = HashMap<PreemptionScope, Map<String, Resources>>()
+    private val reclaimableByScope = HashMap<PreemptionScope, Map<String, MachineRoom>>()
 
     /** The number of placement attempts in this run. */
     val attempts: Int get() = infeasible.attempts
@@ -68,15 +68,12 @@
     }
 
     private fun candidatesAfterEviction(job: Job): List<PlacementCandidate> {
-        val reclaimable = reclaimableByScope.getOrPut(scopeOf(job)) { reclaimableResources(job) }
+        val reclaimable = reclaimableByScope.getOrPut(scopeOf(job)) { reclaimableRoom(job) }
         return candidates.map { candidate ->
-            reclaimable[candidate.machine.name]?.let { candidate.withFree(candidate.free + it) } ?: candidate.copy()
+            reclaimable[candidate.machine.name]?.let { candidate.copy(candidate.room + it) } ?: candidate.copy()
         }
     }
 
-    private fun PlacementCandidate.withFree(resources: Resources) =
-        PlacementCandidate(machine, incarnation, resources, images, isEmpty)
-
     private fun scopeOf(job: Job): PreemptionScope {
         val isGuaranteed = job.id in guaranteed
         return PreemptionScope(
@@ -88,20 +85,20 @@
     }
 
     /**
-     * Returns the resources that [job] can reclaim on each candidate, by machine name: those of the tasks that it may
+     * Returns the room that [job] can reclaim on each candidate, by machine name: those of the tasks that it may
      * preempt and of the tasks that are terminating anyway.
      */
-    private fun reclaimableResources(job: Job): Map<String, Resources> {
+    private fun reclaimableRoom(job: Job): Map<String, MachineRoom> {
         val isGuaranteed = job.id in guaranteed
-        val result = HashMap<String, Resources>()
+        val result = HashMap<String, MachineRoom>()
         for (candidate in candidates) {
             val machineName = candidate.machine.name
-            var resources = Resources.NONE
+            var room = MachineRoom.NONE
             for (other in context.view.jobsOn(machineName)) {
                 val tasks = countReclaimableTasks(job, isGuaranteed, other, machineName)
-                if (tasks > 0) resources += other.spec.taskResources * tasks
+                if (tasks > 0) room = room.plus(other.spec, tasks)
             }
-            if (resources !== Resources.NONE) result[machineName] = resources
+            if (room !== MachineRoom.NONE) result[machineName] = room
         }
         return result
     }
--- a/src/main/kotlin/flaxfield/gangs/LargeGangReservation.kt
+++ b/src/main/kotlin/flaxfield/gangs/LargeGangReservation.kt
@@ -61,7 +61,7 @@
         for (candidate in usable.sortedWith(compareBy({ if (it.isEmpty) 0 else 1 }, { it.machine.name }))) {
             if (remaining <= 0) break
             reserved += candidate.machine.name
-            remaining -= candidate.free.countFitting(job.spec.taskResources)
+            remaining -= minOf(remaining, candidate.room.countFitting(job.spec))
         }
         return candidates.filter { it.machine.name !in reserved }
     }
@@ -70,7 +70,7 @@
         val taskCount = job.spec.taskCount
         return minOf(
             taskCount,
-            candidates.sumOf { minOf(it.free.countFitting(job.spec.taskResources), taskCount) },
+            candidates.sumOf { minOf(it.room.countFitting(job.spec), taskCount) },
         )
     }
 }
--- a/src/main/kotlin/flaxfield/jobs/JobSpec.kt
+++ b/src/main/kotlin/flaxfield/jobs/JobSpec.kt
@@ -49,4 +49,7 @@
     val checkpointIntervalS: Double,
     val checkpointDurationS: Double,
     val deadlineS: Double?,
-)
+) {
+    /** The most bytes that one of its tasks takes in its machine's heartbeat. */
+    val reportBytes: Int by lazy(LazyThreadSafetyMode.NONE) { MessageSize.reportBytes(this) }
+}
--- a/src/main/kotlin/flaxfield/jobs/StallMonitor.kt
+++ b/src/main/kotlin/flaxfield/jobs/StallMonitor.kt
@@ -101,7 +101,7 @@
             machine.isSchedulable &&
                 view.machineStatus(machine.name)?.health == MachineHealth.OK &&
                 TopologyConstraint.allowsMachine(job.spec, machine) &&
-                view.free(machine)?.canHold(job.spec.taskResources) == true
+                view.room(machine)?.canHold(job.spec) == true
         }
         val excluded = job.excludedMachines(context.nowMs)
         return FittingMachines(fitting.size, fitting.count { it.name in excluded })
--- a/src/main/kotlin/flaxfield/operator/PlacementExplainer.kt
+++ b/src/main/kotlin/flaxfield/operator/PlacementExplainer.kt
@@ -9,7 +9,7 @@
 import flaxfield.gangs.GangPlacement
 import flaxfield.gangs.GangPlacementResult
 import flaxfield.jobs.Job
-import flaxfield.jobs.Resources
+import flaxfield.jobs.MachineRoom
 
 /** Explains why a job's pending tasks are not placed at [nowMs]. Pure. */
 internal class PlacementExplainer(private val snapshot: FleetSnapshot, private val nowMs: Long) {
@@ -56,7 +56,7 @@
     }
 
     private fun countFitting(job: Job, candidates: List<PlacementCandidate>): Int =
-        candidates.sumOf { minOf(it.free.countFitting(job.spec.taskResources), job.pendingCount) }
+        candidates.sumOf { minOf(it.room.countFitting(job.spec), job.pendingCount) }
 
     private fun excludedMachines(job: Job): JobReason {
         val remainingS = (job.failedAtMs + Job.MACHINE_EXCLUSION_MS - nowMs) / MILLIS_PER_SECOND
@@ -83,16 +83,17 @@
         val used = usedByMachine()
         return machines.mapNotNull { machine ->
             val capacity = snapshot.machineTypes[machine.machineType]?.capacity ?: return@mapNotNull null
-            val free = capacity - (used[machine.name] ?: Resources.NONE)
-            PlacementCandidate(machine, 0uL, free, emptyList(), machine.name !in used)
+            val room = MachineRoom(capacity) - (used[machine.name] ?: MachineRoom.NONE)
+            PlacementCandidate(machine, 0uL, room, emptyList(), machine.name !in used)
         }
     }
 
-    private fun usedByMachine(): Map<String, Resources> {
-        val used = HashMap<String, Resources>()
+    /** Returns what the placed tasks of all jobs take of each machine, by machine name. */
+    private fun usedByMachine(): Map<String, MachineRoom> {
+        val used = HashMap<String, MachineRoom>()
         for (job in snapshot.jobs.values) {
-            for (placement in job.allPlaced()) {
-                used.merge(placement.machineName, job.spec.taskResources, Resources::plus)
+            for ((machineName, count) in job.allPlaced().groupingBy { it.machineName }.eachCount()) {
+                used.merge(machineName, MachineRoom.NONE.plus(job.spec, count), MachineRoom::plus)
             }
         }
         return used
--- a/src/main/kotlin/flaxfield/store/ClusterReplica.kt
+++ b/src/main/kotlin/flaxfield/store/ClusterReplica.kt
@@ -81,7 +81,7 @@
 
     private fun replayMachineTypes(value: FieldMap?) {
         records.machineTypes = value?.let(FleetCodec::machineTypes).orEmpty()
-        records.placements.invalidateFree()
+        records.placements.invalidateRoom()
         records.machineTypesWrittenMs = value?.unsigned("at")?.toLong() ?: 0
     }
 
--- a/src/main/kotlin/flaxfield/store/ClusterView.kt
+++ b/src/main/kotlin/flaxfield/store/ClusterView.kt
@@ -7,7 +7,7 @@
 import flaxfield.fleet.Rental
 import flaxfield.jobs.Job
 import flaxfield.jobs.JobChunk
-import flaxfield.jobs.Resources
+import flaxfield.jobs.MachineRoom
 import flaxfield.membership.Member
 import flaxfield.membership.ShardAssignment
 import flaxfield.quota.TeamUsage
@@ -93,8 +93,8 @@
     /** Returns the number of recorded tasks of [job] by machine name. */
     fun taskCountsOf(job: String): Map<String, Int> = records.placements.taskCountsOf(job)
 
-    /** Returns the resources of [machine] that its recorded tasks leave free; null if its type is unknown. */
-    fun free(machine: Machine): Resources? = records.placements.free(machine, machineTypes, jobs)
+    /** Returns the room that the recorded tasks of [machine] leave for others; null if its type is unknown. */
+    fun room(machine: Machine): MachineRoom? = records.placements.room(machine, machineTypes, jobs)
 
     /** Returns the status of a machine that its owner has published under the current term; null without one. */
     fun machineStatus(machineName: String): MachineStatus? =
--- a/src/main/kotlin/flaxfield/store/PlacementIndex.kt
+++ b/src/main/kotlin/flaxfield/store/PlacementIndex.kt
@@ -3,11 +3,11 @@
 import flaxfield.fleet.Machine
 import flaxfield.fleet.MachineType
 import flaxfield.jobs.Job
+import flaxfield.jobs.MachineRoom
 import flaxfield.jobs.Placement
-import flaxfield.jobs.Resources
 
 /**
- * Indexes the placements of all jobs by machine and caches the free resources of each machine. The index is updated
+ * Indexes the placements of all jobs by machine and caches the room on each machine. The index is updated
  * with each change of a job, so that a machine's heartbeat does not iterate over all placements of the jobs on it. Used
  * only by the owner thread.
  */
@@ -18,12 +18,12 @@
     /** The number of placements by job id and machine name. */
     private val taskCountsByJob = HashMap<String, HashMap<String, Int>>()
 
-    /** Free resources by machine name, computed on first use and invalidated when a placement there changes. */
-    private val freeByMachine = HashMap<String, Resources>()
+    /** The room by machine name, computed on first use and invalidated when a placement there changes. */
+    private val roomByMachine = HashMap<String, MachineRoom>()
 
     /** Adds a placement of [jobId]. It replaces an earlier attempt of the same task on the same machine. */
     fun add(jobId: String, placement: Placement) {
-        freeByMachine.remove(placement.machineName)
+        roomByMachine.remove(placement.machineName)
         val jobsOnMachine = byMachine.getOrPut(placement.machineName) { HashMap() }
         val replaced = jobsOnMachine.getOrPut(jobId) { HashMap() }.put(placement.index, placement)
         if (replaced == null) taskCountsByJob.getOrPut(jobId) { HashMap() }.merge(placement.machineName, 1, Int::plus)
@@ -31,7 +31,7 @@
 
     /** Removes a placement of [jobId], unless another attempt of the task has replaced it. */
     fun remove(jobId: String, placement: Placement) {
-        freeByMachine.remove(placement.machineName)
+        roomByMachine.remove(placement.machineName)
         val jobsOnMachine = byMachine[placement.machineName] ?: return
         val tasks = jobsOnMachine[jobId] ?: return
         if (tasks[placement.index]?.attempt != placement.attempt) return
@@ -73,24 +73,24 @@
     /** Returns the number of placements on [machineName]. */
     fun taskCountOn(machineName: String): Int = byMachine[machineName]?.values?.sumOf { it.size } ?: 0
 
-    /** Returns the free resources of [machine]; null if its type is not in [machineTypes]. */
-    fun free(machine: Machine, machineTypes: Map<String, MachineType>, jobs: Map<String, Job>): Resources? {
-        freeByMachine[machine.name]?.let { return it }
-        var free = machineTypes[machine.machineType]?.capacity ?: return null
+    /** Returns the room that is left on [machine]; null if its type is not in [machineTypes]. */
+    fun room(machine: Machine, machineTypes: Map<String, MachineType>, jobs: Map<String, Job>): MachineRoom? {
+        roomByMachine[machine.name]?.let { return it }
+        var room = MachineRoom(machineTypes[machine.machineType]?.capacity ?: return null)
         for ((id, tasks) in byMachine[machine.name].orEmpty()) {
             val job = jobs[id] ?: continue
-            free -= job.spec.taskResources * tasks.size
+            room = room.minus(job.spec, tasks.size)
         }
-        freeByMachine[machine.name] = free
-        return free
+        roomByMachine[machine.name] = room
+        return room
     }
 
-    /** Discards the cached free resources after a change of the machine types. */
-    fun invalidateFree() = freeByMachine.clear()
+    /** Discards the cached room after a change of the machine types. */
+    fun invalidateRoom() = roomByMachine.clear()
 
     fun clear() {
         byMachine.clear()
         taskCountsByJob.clear()
-        freeByMachine.clear()
+        roomByMachine.clear()
     }
 }
--- a/src/main/kotlin/flaxfield/workers/HeartbeatReconciler.kt
+++ b/src/main/kotlin/flaxfield/workers/HeartbeatReconciler.kt
@@ -13,12 +13,6 @@
  * observed state. All functions are pure.
  */
 object HeartbeatReconciler {
-    /**
-     * The maximum number of task records per machine. A heartbeat can list as many ended tasks again that are not yet
-     * cleared, at about 70 bytes per task. A heartbeat above 64 KiB would be lost, and the lease would expire.
-     */
-    const val MAX_TASKS_PER_MACHINE = 300
-
     /**
      * Returns the commands and events that result from [heartbeat].
      *
@@ -38,14 +32,17 @@
         val events = ArrayList<TaskEvent>()
         val recordById = records.associateBy(::idOf)
         val reported = HashSet<TaskId>()
+        val capacity = HeartbeatCapacity()
         for (task in heartbeat.tasks) {
             val id = TaskId(task.job, task.index)
             val record = recordById[id]?.takeIf { attemptOf(it) == task.attempt }
             if (record == null) {
                 commands += commandForUnrecorded(task)
+                if (task.state != TaskState.ENDED) capacity.addUnrecorded(task)
                 continue
             }
             reported += id
+            capacity.add(record.job)
             when {
                 task.state != TaskState.ENDED -> commands += listOfNotNull(halt(task, record))
                 !isEndProven(task, heartbeat, term) -> Unit
@@ -56,9 +53,9 @@
         for (record in records) {
             if (idOf(record) in reported) continue
             lossOfAbsentTask(record, heartbeat, term)?.let { events += it }
-            if (mayLaunch && mustLaunch(record, heartbeat)) commands += launch(record)
+            if (mayLaunch && mustLaunch(record, heartbeat) && capacity.tryAdd(record.job)) commands += launch(record)
         }
-        return ReconcileResult(commands, events)
+        return ReconcileResult(CommandLimit.limit(commands), events)
     }
 
     private fun idOf(record: PlacedTask) = TaskId(record.job.id, record.placed.index)
@@ -124,7 +121,7 @@
             } else {
                 halt(task, record)
             }
-        }
+        }.let(CommandLimit::limit)
     }
 
     /**
@@ -149,7 +146,7 @@
             job.cancelled && heartbeatOverdue -> WorkerCommand.Halt(job.id, record.placed.index, attemptOf(record), 0.0)
             else -> null
         }
-    }
+    }.let(CommandLimit::limit)
 
     /** Returns the halt for a reported task, or null if the task needs none. */
     private fun halt(task: TaskStatus, record: PlacedTask): WorkerCommand.Halt? {
--- a/src/test/kotlin/flaxfield/Samples.kt
+++ b/src/test/kotlin/flaxfield/Samples.kt
@@ -8,6 +8,7 @@
 import flaxfield.jobs.JobChunk
 import flaxfield.jobs.JobKind
 import flaxfield.jobs.JobSpec
+import flaxfield.jobs.MachineRoom
 import flaxfield.jobs.Priority
 import flaxfield.jobs.Resources
 import flaxfield.settings.Address
@@ -53,7 +54,7 @@
         zone: String = "a",
         preemptible: Boolean = false,
         images: Set<String> = emptySet(),
-    ) = PlacementCandidate(machine(name, zone, preemptible), 1uL, free, images, true)
+    ) = PlacementCandidate(machine(name, zone, preemptible), 1uL, MachineRoom(free), images, true)
 
     fun machineType(label: String, capacity: Resources, rate: Double, low: Double, zones: List<String> = listOf("a", "b")) =
         MachineType(label, capacity, 100.0, 1.0, rate, low, 30.0, zones)
--- a/src/test/kotlin/flaxfield/arrays/ArrayPlacementTest.kt
+++ b/src/test/kotlin/flaxfield/arrays/ArrayPlacementTest.kt
@@ -19,12 +19,17 @@
     }
 
     @Test
-    fun `a placement stays within the limits of tasks, machines, chunks and task slots`() {
+    fun `a placement stays within the limits of tasks, machines, chunks and the bytes of a heartbeat`() {
         val spec = Samples.spec(taskCount = 24, taskResources = Resources(1.0, 0.0, 1.0))
         fun place(limits: ArrayPlacement.Limits, slotsPerMachine: Int = 99, isChunkOpen: (Int) -> Boolean = { true }) =
             ArrayPlacement.place(
                 Samples.job(spec),
-                listOf("h1", "h2", "h3").map { Samples.candidate(it).apply { taskSlots = slotsPerMachine } },
+                listOf("h1", "h2", "h3").map {
+                    Samples.candidate(it).apply {
+                        room =
+                            room.copy(reportBytes = slotsPerMachine * spec.reportBytes)
+                    }
+                },
                 TopologyConstraint(spec, emptyList()),
                 6,
                 limits,
--- a/src/test/kotlin/flaxfield/fleet/BinPackerTest.kt
+++ b/src/test/kotlin/flaxfield/fleet/BinPackerTest.kt
@@ -3,6 +3,7 @@
 import flaxfield.Samples
 import flaxfield.jobs.JobKind
 import flaxfield.jobs.JobSpec
+import flaxfield.jobs.MachineRoom
 import flaxfield.jobs.Resources
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
@@ -57,9 +58,9 @@
     fun `uses existing and requested machines before renting new ones`() {
         val bins = {
             listOf(
-                Bin("h1", "big", "a", false, oneTask),
-                Bin("h2", "big", "a", true, oneTask * 2),
-                Bin(null, "big", "b", true, oneTask * 4),
+                Bin("h1", "big", "a", false, MachineRoom(oneTask)),
+                Bin("h2", "big", "a", true, MachineRoom(oneTask * 2)),
+                Bin(null, "big", "b", true, MachineRoom(oneTask * 4)),
             )
         }
         val result = pack(listOf(CapacityDemand(Samples.spec(), 7)), bins())
@@ -71,13 +72,17 @@
     /** Guards against review case 1: room that the schedulers do not grant was counted, and no machine was rented. */
     @Test
     fun `rents a machine for a demand that the schedulers do not admit to the existing ones`() {
-        val onDemand = { Bin("h1", "big", "a", false, oneTask) }
+        val onDemand = { Bin("h1", "big", "a", false, MachineRoom(oneTask)) }
         val sameZone = Samples.spec(sameZone = true, taskCount = 2)
         val rows = listOf(
-            CapacityDemand(Samples.spec(zone = "b"), 1, excludedMachines = setOf("h1")) to Bin("h1", "big", "b", true, oneTask),
-            CapacityDemand(Samples.spec(zone = "b"), 1) to Bin("h1", "big", "b", true, oneTask, taskSlots = 0),
-            CapacityDemand(Samples.spec(zone = "b"), 1, mayUseOnDemand = false) to Bin("h1", "big", "b", false, oneTask),
-            CapacityDemand(sameZone, 1, placedZones = listOf("b")) to Bin("h1", "big", "a", true, oneTask),
+            CapacityDemand(
+                Samples.spec(zone = "b"),
+                1,
+                excludedMachines = setOf("h1"),
+            ) to Bin("h1", "big", "b", true, MachineRoom(oneTask)),
+            CapacityDemand(Samples.spec(zone = "b"), 1) to Bin("h1", "big", "b", true, MachineRoom(oneTask, reportBytes = 0)),
+            CapacityDemand(Samples.spec(zone = "b"), 1, mayUseOnDemand = false) to Bin("h1", "big", "b", false, MachineRoom(oneTask)),
+            CapacityDemand(sameZone, 1, placedZones = listOf("b")) to Bin("h1", "big", "a", true, MachineRoom(oneTask)),
         )
         for ((demand, bin) in rows) {
             val result = pack(listOf(demand), listOf(bin))
@@ -88,7 +93,7 @@
 
     @Test
     fun `packs the tasks of a same-zone gang into one zone`() {
-        val bins = listOf(Bin("a1", "big", "a", false, oneTask * 2), Bin("b1", "big", "b", false, oneTask * 2))
+        val bins = listOf(Bin("a1", "big", "a", false, MachineRoom(oneTask * 2)), Bin("b1", "big", "b", false, MachineRoom(oneTask * 2)))
         val result =
             pack(
                 listOf(CapacityDemand(Samples.spec(jobKind = JobKind.GANG, sameZone = true, preemptible = false), 4)),
@@ -103,9 +108,9 @@
         // The zone of the first free machine may be too small for the gang while another zone is not.
         val bins = {
             listOf(
-                Bin("a1", "big", "a", false, oneTask * 4),
-                Bin("b1", "big", "b", false, oneTask * 4),
-                Bin("b2", "big", "b", false, oneTask * 4),
+                Bin("a1", "big", "a", false, MachineRoom(oneTask * 4)),
+                Bin("b1", "big", "b", false, MachineRoom(oneTask * 4)),
+                Bin("b2", "big", "b", false, MachineRoom(oneTask * 4)),
             )
         }
         val gang =
@@ -118,7 +123,7 @@
     @Test
     fun `packs a same-zone gang into another zone if its machines can only be rented there`() {
         val spec = Samples.spec(jobKind = JobKind.GANG, sameZone = true, preemptible = false, taskResources = oneTask * 4)
-        val bins = { listOf("a1", "a2", "a3").map { Bin(it, "big", "a", false, oneTask * 4) } }
+        val bins = { listOf("a1", "a2", "a3").map { Bin(it, "big", "a", false, MachineRoom(oneTask * 4)) } }
         val refused = setOf(Offer("big", "a", false))
         val result = pack(listOf(CapacityDemand(spec, 4)), bins(), refused)
         assertEquals(PackingResult(mapOf(Offer("big", "b", false) to 4), emptySet()), result)
--- a/src/test/kotlin/flaxfield/sim/InvariantChecker.kt
+++ b/src/test/kotlin/flaxfield/sim/InvariantChecker.kt
@@ -86,16 +86,16 @@
         if (!mayRunOn(spec, key, machine)) violated("wrong_place", "$id/$task starts on $machine")
         running[key] = machine
         watcher?.onStarted(spec, task, machine)
-        val used = gpusInUse(spec.team)
+        val used = if (spec.team in gpuLimits) gpusInUse(spec.team) else 0.0
         if (used > gpuLimit(spec.team)) violated("quota", "${spec.team} uses $used GPUs")
         cancelledAt[id]?.let { checkStartAfterCancellation(key, nowS - it) }
     }
 
     private fun mayRunOn(spec: JobSpec, key: TaskKey, machine: SimMachine): Boolean {
+        if (!spec.allows(machine) || !spec.sameZone && !spec.spreadAcrossZones) return spec.allows(machine)
         val others = running.filter { it.key.jobId == key.jobId && it.key.index != key.index }.values
         val maxInZone = (spec.taskCount + 1) / 2
-        return spec.allows(machine) &&
-            !(spec.sameZone && others.any { it.zone != machine.zone }) &&
+        return !(spec.sameZone && others.any { it.zone != machine.zone }) &&
             !(spec.spreadAcrossZones && others.count { it.zone == machine.zone } + 1 > maxInZone)
     }
 
--- a/src/test/kotlin/flaxfield/sim/SimHeartbeats.kt
+++ b/src/test/kotlin/flaxfield/sim/SimHeartbeats.kt
@@ -16,6 +16,9 @@
     var duplicateForNextLeaderRate = 0.0
     private val duplicatesForNextLeader = ArrayList<ByteArray>()
 
+    /** Descriptions of the reports and responses that exceed the limit of the protocol; such reports get 413. */
+    val oversizedMessages = ArrayList<String>()
+
     /** Sends the heartbeat of a worker in [zone] to [controllerName]; [done] gets null if there is no response. */
     fun send(zone: String, controllerName: String, body: ByteArray, done: (Response?) -> Unit) {
         val to = controllerNames.indexOf(controllerName)
@@ -28,10 +31,23 @@
             val failureDelayMs = if (network.resetsCutConnections) RESET_MS else TIMEOUT_MS
             return loop.after(failureDelayMs * SimLoop.MS) { done(null) }
         }
-        deliver(to, body, done)
+        val bytes = SimMessageSize.jsonBytes(body)
+        if (bytes > SimMessageSize.MAX_BYTES) {
+            oversizedMessages += "report of $bytes bytes"
+            return loop.after(RESET_MS * SimLoop.MS) { done(Response(TOO_LARGE, ByteArray(0))) }
+        }
+        deliver(to, body) { response ->
+            recordSize(response)
+            done(response)
+        }
         duplicate(body)
     }
 
+    private fun recordSize(response: Response?) {
+        val bytes = SimMessageSize.jsonBytes(response?.body ?: return)
+        if (bytes > SimMessageSize.MAX_BYTES) oversizedMessages += "response of $bytes bytes"
+    }
+
     private fun duplicate(body: ByteArray) {
         if (loop.random.nextDouble() < duplicateRate) {
             val delayNs = loop.random.nextLong(2 * SimLoop.SECOND, 20 * SimLoop.SECOND)
@@ -63,6 +79,7 @@
 
         /** The time until the sender detects that its connection was reset. */
         const val RESET_MS = 1L
+        const val TOO_LARGE = 413
         const val MAX_BUFFERED_DUPLICATES = 200
         val NEW_LEADER_DELAYS_MS = longArrayOf(1, 40, 400)
     }
--- a/src/test/kotlin/flaxfield/store/ClusterViewTest.kt
+++ b/src/test/kotlin/flaxfield/store/ClusterViewTest.kt
@@ -79,9 +79,9 @@
         )
         val machine = Samples.machine("h")
         replica.apply(put(Samples.job().on(0 to "h", 1 to "g", 2 to "h").stop(listOf(0)), 2uL))
-        assertEquals(Resources(8.0, 2.0, 32.0), view.free(machine))
+        assertEquals(Resources(8.0, 2.0, 32.0), view.room(machine)?.resources)
         replica.apply(put(Samples.job().on(1 to "g"), 3uL))
-        assertEquals(Resources(16.0, 4.0, 64.0), view.free(machine))
+        assertEquals(Resources(16.0, 4.0, 64.0), view.room(machine)?.resources)
     }
 
     @Test
