Test: late copies of commands and reports start no task again

The operators asked whether a start command that arrives once more can start a task that was moved, was cancelled, has ended or was restarted at once.

--- a/src/test/kotlin/flaxfield/sim/SimCluster.kt
+++ b/src/test/kotlin/flaxfield/sim/SimCluster.kt
@@ -51,7 +51,7 @@
     private val workload = SimWorkload(invariants, specs, GangRegistry())
     private val workerTimes = SimWorkerTimes(heartbeatIntervalS = 1.0, leaseS = LEASE_S, gangWaitS = 10.0)
     val cloud: SimCloud = SimCloud(loop, machineZones.associateWith { machinesPerZone }, lagS = 3.0, ::createWorker)
-    private val transports = SimTransports(loop, controllerNames, network, store, cloud, ::controller)
+    val transports = SimTransports(loop, controllerNames, network, store, cloud, ::controller)
     private val controllers: List<SimController> = controllerNames.indices.map(::createController)
 
     /** The processor of each controller. */
--- a/src/test/kotlin/flaxfield/sim/SimTransports.kt
+++ b/src/test/kotlin/flaxfield/sim/SimTransports.kt
@@ -1,6 +1,7 @@
 package flaxfield.sim
 
 import flaxfield.codec.Cbor
+import flaxfield.codec.FieldMap
 import flaxfield.controller.ControllerTransports
 import flaxfield.net.HttpTransport
 import flaxfield.net.Response
@@ -20,6 +21,16 @@
 ) {
     private val recorder = SimRecorder.current
 
+    /** Whether a copy of each direct command reaches its worker again, late. */
+    var copiesCommands = false
+
+    /** The number of copies of direct commands that were delivered. */
+    var copiedCommands = 0
+        private set
+
+    /** The direct commands that contain a launch, which is never sent this way. */
+    val directLaunches = ArrayList<String>()
+
     /** Returns the transports of a process of controller [index], which deliver responses only while it is [alive]. */
     fun of(index: Int, alive: () -> Boolean) = ControllerTransports(
         storeTransport(index, alive),
@@ -49,9 +60,19 @@
         val worker = cloud.workers["host-%06d".format(address.port - 1)] ?: return
         if (worker.inboundBlocked || network.arePartitioned(worker.machine.zone, from)) return
         val command = Cbor.decode(body)
+        directLaunches += command.mapList("orders").filter { it.text("verb") == "launch" }.map { it.map.toString() }
+        if (copiesCommands) copyLater(worker, command)
         if (worker.hung) worker.bufferCommand(command) else answer(worker.execute(command))
     }
 
+    private fun copyLater(worker: SimWorker, command: FieldMap) {
+        loop.after(loop.random.nextLong(COPY_MIN_DELAY_NS, COPY_MAX_DELAY_NS)) {
+            if (worker.terminated || worker.hung) return@after
+            copiedCommands++
+            worker.execute(command)
+        }
+    }
+
     private fun sendToPeer(from: Int, address: Address, message: PeerMessage, reply: (PeerMessage) -> Unit) {
         val to = address.host.substringAfterLast('.').toInt() - 1
         val target = "${controllerNames[from]} ${controllerNames[to]}"
@@ -74,5 +95,7 @@
 
     private companion object {
         const val PEER_HOP_NS = 2 * SimLoop.MS
+        const val COPY_MIN_DELAY_NS = 100 * SimLoop.MS
+        const val COPY_MAX_DELAY_NS = 16 * SimLoop.SECOND
     }
 }
--- a/src/test/kotlin/flaxfield/sim/SimWorker.kt
+++ b/src/test/kotlin/flaxfield/sim/SimWorker.kt
@@ -85,6 +85,13 @@
         loop.after((STEP_S * SimLoop.SECOND).toLong(), ::step)
     }
 
+    /** Restarts the machine at once: its tasks are gone, and it has forgotten the fencing token. */
+    fun restart() {
+        tasks.terminateAll()
+        fencingToken = 0uL
+        startIncarnation()
+    }
+
     fun terminate() {
         terminated = true
         tasks.terminateAll()
@@ -108,6 +115,10 @@
         if (loop.nowS - maxOf(leaseRenewedS, incarnationStartedS) <= times.leaseS) return
         if (tasks.hasLiveTasks) workload.invariants.leasesExpired++
         tasks.terminateAll()
+        startIncarnation()
+    }
+
+    private fun startIncarnation() {
         incarnation++
         incarnationStartedS = loop.nowS
         hasChanges = true
