--- a/src/main/kotlin/flaxfield/workers/HeartbeatCapacity.kt
+++ b/src/main/kotlin/flaxfield/workers/HeartbeatCapacity.kt
@@ -16,8 +16,9 @@
         freeBytes -= job.spec.reportBytes
     }
 
-    /** Adds a task that the worker reports although it is not recorded. */
+    /** Adds a task that the worker reports although it is not recorded. If it has ended, it is cleared instead. */
     fun addUnrecorded(task: TaskStatus) {
+        if (task.state == TaskState.ENDED) return
         freeBytes -= MessageSize.reportBytes(task.job, task.index, savesProgress = true)
     }
 
--- a/src/main/kotlin/flaxfield/workers/HeartbeatReconciler.kt
+++ b/src/main/kotlin/flaxfield/workers/HeartbeatReconciler.kt
@@ -38,7 +38,7 @@
             val record = recordById[id]?.takeIf { attemptOf(it) == task.attempt }
             if (record == null) {
                 commands += commandForUnrecorded(task)
-                if (task.state != TaskState.ENDED) capacity.addUnrecorded(task)
+                capacity.addUnrecorded(task)
                 continue
             }
             reported += id
@@ -53,7 +53,7 @@
         for (record in records) {
             if (idOf(record) in reported) continue
             lossOfAbsentTask(record, heartbeat, term)?.let { events += it }
-            if (mayLaunch && mustLaunch(record, heartbeat) && capacity.tryAdd(record.job)) commands += launch(record)
+            if (mayLaunch && mayStart(record, heartbeat, capacity)) commands += launch(record)
         }
         return ReconcileResult(CommandLimit.limit(commands), events)
     }
@@ -189,6 +189,10 @@
     private fun mustLaunch(record: PlacedTask, heartbeat: Heartbeat): Boolean =
         heartbeat.incarnation == record.placed.incarnation && !mustEnd(record)
 
+    /** Whether [record] must start now, and [capacity] has room to report it; if so, takes the room. */
+    private fun mayStart(record: PlacedTask, heartbeat: Heartbeat, capacity: HeartbeatCapacity): Boolean =
+        mustLaunch(record, heartbeat) && capacity.tryAdd(record.job)
+
     private fun launch(record: PlacedTask) = WorkerCommand.Launch(record.job.id, record.placed.index, attemptOf(record))
 
     /** The causes with which a worker refuses to start a task. */
--- a/src/test/kotlin/flaxfield/workers/HeartbeatReconcilerTest.kt
+++ b/src/test/kotlin/flaxfield/workers/HeartbeatReconcilerTest.kt
@@ -2,10 +2,13 @@
 
 import flaxfield.Samples
 import flaxfield.Samples.on
+import flaxfield.codec.Cbor
 import flaxfield.jobs.Job
 import flaxfield.jobs.TaskEvent
+import flaxfield.sim.SimMessageSize
 import flaxfield.store.PlacedTask
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 
 class HeartbeatReconcilerTest {
@@ -126,6 +129,18 @@
         for ((case, actual, expected) in table) assertEquals(expected, actual, case)
     }
 
+    /** Guards against review case 6 on a machine that an earlier build, which had no limit for gangs, has overfilled. */
+    @Test
+    fun `an owner starts no more tasks than the next report can hold`() {
+        val overfilled = Samples.job(Samples.spec(taskCount = 1_680)).place((0 until 1_680).associateWith { Job.Target("h", 1uL) })
+        val launched = decide(overfilled, heartbeat()).commands
+        assertTrue(launched.size in 700..1_000, "${launched.size} launches")
+        val reported = launched.map { TaskStatus(it.job, it.index, it.attempt, TaskState.RUNNING, null) }
+        assertEquals(emptyList<WorkerCommand>(), decide(overfilled, heartbeat(*reported.toTypedArray())).commands)
+        val halts = decide(overfilled.copy(cancelledMs = 5), heartbeat(*reported.toTypedArray())).commands
+        assertTrue(SimMessageSize.jsonBytes(Cbor.encode(HeartbeatCodec.encode(7uL, halts))) <= SimMessageSize.MAX_BYTES)
+    }
+
     @Test
     fun `absence does not prove a loss under an older term or incarnation`() {
         // A launch of an earlier term may still be in flight to a worker that does not know the current term.
