--- a/src/test/kotlin/flaxfield/training/LoopbackEnvironment.kt
+++ b/src/test/kotlin/flaxfield/training/LoopbackEnvironment.kt
@@ -50,6 +50,16 @@
         it.name to HttpClient(server.network, server.outbox, address, SimulationServer.MAX_SOCKETS)
     }
     private val port: Int = freePort()
+
+    /** Whether copies of all direct commands and reports arrive again, late. */
+    var copiesMessages = false
+
+    /** The number of copies of direct commands that workers have received. */
+    var copiedCommands = 0
+        private set
+
+    /** The launches in direct commands, which are never sent this way. */
+    val directLaunches = ArrayList<String>()
     private val cloud: SimCloud =
         SimCloud(loop, mapOf("a" to scale.machinesPerZone, "b" to scale.machinesPerZone), lagS = 1.0, ::createWorker)
 
@@ -98,7 +108,6 @@
     private fun serve(request: Request, respond: (Response) -> Unit) {
         val path = request.path
         when {
-            path == "/do" -> respond(Response(400, Cbor.encode(emptyMap())))
             path == "/flavors" || path.startsWith("/machines") -> cloud.serve(request.method, request.target, request.body, respond)
             else -> state.serve(0, request.method, request.target, request.body, respond)
         }
@@ -107,9 +116,11 @@
     private fun createWorker(machine: SimMachine): SimWorker {
         val times = SimWorkerTimes(heartbeatIntervalS = 1.0, leaseS = 6.0, gangWaitS = 10.0)
         val names = nodes.map { it.name }
-        val address = "${SimulationServer.LOOPBACK}:$port"
-        val heartbeats = HeartbeatSender { controller, body, done -> send(controller, "POST", "/hello", body, done) }
-        return SimWorker(
+        // Each worker has an address of its own on loopback, as a direct command does not name its machine.
+        val host = "127.0.1.${machine.machineName.removePrefix("host-").toInt() + 1}"
+        val address = "$host:$port"
+        val heartbeats = HeartbeatSender(::sendHeartbeat)
+        val worker = SimWorker(
             loop,
             machine,
             SimCloud.MACHINE_RESOURCES,
@@ -119,8 +130,32 @@
             address,
             heartbeats,
         )
+        server.bind(host, port) { request, respond -> respond(execute(worker, request.body)) }
+        return worker
     }
 
+    private fun execute(worker: SimWorker, body: ByteArray): Response {
+        val command = Cbor.decode(body)
+        directLaunches += command.mapList("orders").filter { it.text("verb") == "launch" }.map { it.map.toString() }
+        if (copiesMessages) {
+            loop.after(copyDelayNs()) {
+                copiedCommands++
+                if (!worker.terminated) worker.execute(command)
+            }
+        }
+        return if (worker.terminated) Response(GONE, ByteArray(0)) else worker.execute(command)
+    }
+
+    private fun sendHeartbeat(controller: String, body: ByteArray, done: (Response?) -> Unit) {
+        send(controller, "POST", "/hello", body, done)
+        if (copiesMessages) loop.after(copyDelayNs()) { send(nodes.random().name, "POST", "/hello", body) { } }
+    }
+
+    private fun copyDelayNs(): Long = loop.random.nextLong(SimLoop.SECOND / 10, MAX_COPY_DELAY_NS)
+
+    /** Runs [action] on the simulation's thread with the workers that run tasks. */
+    fun onBusyWorkers(action: (List<SimWorker>) -> Unit) = server.call { action(cloud.workers.values.filter { it.hasLiveTasks }) }
+
     private fun send(node: String, method: String, path: String, body: ByteArray?, done: (Response?) -> Unit) {
         clients.getValue(node).send(method, path, body, TIMEOUT_MS) { response -> server.post { done(response) } }
     }
@@ -175,6 +210,8 @@
         private const val TIMEOUT_MS = 4_000L
         private const val OK = 200
         private const val NOT_FOUND = 404
+        private const val GONE = 410
+        private const val MAX_COPY_DELAY_NS = 10 * SimLoop.SECOND
         private const val SETTINGS_RESOURCE = "/training/settings.json"
 
         /** Creates a file that contains [text] and is deleted when this process exits. */
--- a/src/test/kotlin/flaxfield/training/SimulationServer.kt
+++ b/src/test/kotlin/flaxfield/training/SimulationServer.kt
@@ -29,10 +29,15 @@
 
     /** Starts to serve [service] on [port] and to advance simulated time. */
     fun start(port: Int, service: SimService) {
-        HttpServer(network, outbox, ConnectionQuotas.of(MAX_SOCKETS), IDLE_TIMEOUT_S) { handle(it, service) }.bind(LOOPBACK, port)
+        bind(LOOPBACK, port, service)
         executor.scheduleAtFixedRate(::advance, STEP_MS, STEP_MS, TimeUnit.MILLISECONDS)
     }
 
+    /** Serves [service] at [host] and [port]. */
+    fun bind(host: String, port: Int, service: SimService) {
+        HttpServer(network, outbox, ConnectionQuotas.of(MAX_SOCKETS), IDLE_TIMEOUT_S) { handle(it, service) }.bind(host, port)
+    }
+
     /** Runs [block] on the simulation's thread. */
     fun post(block: () -> Unit) {
         executor.execute {
--- a/src/test/kotlin/flaxfield/upgrade/ControllerProcesses.kt
+++ b/src/test/kotlin/flaxfield/upgrade/ControllerProcesses.kt
@@ -5,16 +5,18 @@
 import java.io.File
 import java.util.concurrent.TimeUnit
 
-/**
- * The jars of one build in a directory. Both are on the class path: with `-jar flaxfield.jar` alone, `serve --fleet` of
- * earlier builds ends with a NoClassDefFoundError (docs/incidents/fleet-start.md).
- */
-class Build(val name: String, directory: File) {
-    private val jars = listOf(File(directory, "flaxfield.jar"), File(directory, "flaxfield-operator.jar"))
-    val classPath = jars.joinToString(File.pathSeparator)
-
-    init {
-        for (jar in jars) require(jar.isFile) { "$jar does not exist" }
+/** A build of the controller, by its class path. */
+class Build(val name: String, val classPath: String) {
+    companion object {
+        /**
+         * Returns the build whose jars are in [directory]. Both are on the class path: with `-jar flaxfield.jar` alone,
+         * `serve --fleet` of earlier builds ends with a NoClassDefFoundError (docs/incidents/fleet-start.md).
+         */
+        fun of(name: String, directory: File): Build {
+            val jars = listOf(File(directory, "flaxfield.jar"), File(directory, "flaxfield-operator.jar"))
+            for (jar in jars) require(jar.isFile) { "$jar does not exist" }
+            return Build(name, jars.joinToString(File.pathSeparator))
+        }
     }
 }
 
--- a/src/test/kotlin/flaxfield/upgrade/RollingUpgrade.kt
+++ b/src/test/kotlin/flaxfield/upgrade/RollingUpgrade.kt
@@ -159,7 +159,7 @@
 fun main(args: Array<String>) {
     require(args.size == 3) { "usage: RollingUpgrade FROM_DIRECTORY TO_DIRECTORY rolling|restart" }
     val mode = UpgradeMode.valueOf(args[2].uppercase())
-    val problems = RollingUpgrade(Build("old", File(args[0])), Build("new", File(args[1])), mode).run()
+    val problems = RollingUpgrade(Build.of("old", File(args[0])), Build.of("new", File(args[1])), mode).run()
     problems.distinct().forEach(::println)
     println(if (problems.isEmpty()) "upgrade ${args[2]}: no problems" else "upgrade ${args[2]}: ${problems.size} problems")
     exitProcess(if (problems.isEmpty()) 0 else 1)
