--- a/src/main/kotlin/flaxfield/controller/SchedulingPolicy.kt
+++ b/src/main/kotlin/flaxfield/controller/SchedulingPolicy.kt
@@ -4,6 +4,7 @@
 import flaxfield.NANOS_PER_SECOND
 import flaxfield.arrays.GangCapacityReservation
 import flaxfield.fleet.OnDemandUrgency
+import flaxfield.jobs.GangTransactionSize
 import flaxfield.jobs.Job
 import flaxfield.jobs.StarvationTracker
 import flaxfield.quota.JobOrder
@@ -25,6 +26,9 @@
      */
     val reservations = GangCapacityReservation()
 
+    /** Decides which gangs are too large to start. */
+    val gangSize = GangTransactionSize(settings.stateLimits)
+
     private val starvation = StarvationTracker()
     private var refreshedAtVersion = -1L
     private var refreshAfterNs = 0L
--- a/src/main/kotlin/flaxfield/fleet/CapacityPlanner.kt
+++ b/src/main/kotlin/flaxfield/fleet/CapacityPlanner.kt
@@ -37,7 +37,8 @@
 
     private fun waitingDemands(): List<CapacityDemand> {
         val usage = context.scheduling.teamUsage()
-        val waiting = waitingJobs()
+        val reservedMachines = reservedMachines()
+        val waiting = waitingJobs(reservedMachines)
         val spotCompletionsPerS = spotCompletionsPerS()
         val hasSpotMachines = context.view.machines.values.any { it.preemptible }
         var queuedSpotTasks = 0
@@ -52,7 +53,8 @@
             usage.add(job.spec.team, job.spec.taskResources * tasks)
             if (!job.isGang && job.spec.preemptible) queuedSpotTasks += tasks
             val queueWaitS = if (spotCompletionsPerS > 0.0) queuedSpotTasks / spotCompletionsPerS else Double.MAX_VALUE
-            demands += demand(job, tasks, isUrgent(job, queueWaitS), hasSpotMachines)
+            val reserved = reservedMachines[job.id].orEmpty()
+            demands += demand(job, tasks, isUrgent(job, queueWaitS), hasSpotMachines).withoutReserved(reserved)
         }
         return demands
     }
@@ -69,13 +71,31 @@
         placedZones = TopologyConstraint.placedZones(job, context.view.machines),
     )
 
-    /** Returns the jobs with pending tasks that may start now and that have no machines reserved yet. */
-    private fun waitingJobs(): List<Job> {
-        val view = context.view
-        val withReservation = view.machines.values.mapNotNullTo(HashSet()) { view.activeReservation(it)?.job }
-        return view.jobs.values.filter {
-            it.pendingCount > 0 && !it.cancelled && it.id !in withReservation && it.retryAtMs <= context.nowMs
-        }
+    /** Returns the machines with an active reservation, by the id of the gang. */
+    private fun reservedMachines(): Map<String, List<Machine>> = context.view.reservedMachines
+        .mapNotNull { context.view.machines[it] }
+        .filter { context.view.activeReservation(it) != null }
+        .groupBy { it.reservation?.job.orEmpty() }
+
+    /**
+     * Returns this demand without the tasks for which the [reserved] machines are. The reservations of a large gang take
+     * several transactions; the machines that it still needs must not count as idle meanwhile.
+     */
+    private fun CapacityDemand.withoutReserved(reserved: List<Machine>): CapacityDemand {
+        if (reserved.isEmpty()) return this
+        val zones = reserved.flatMap { machine -> List(machine.reservation?.tasks ?: 0) { machine.zone } }
+        return copy(
+            tasks = tasks - zones.size,
+            placedZones = if (spec.sameZone || spec.spreadAcrossZones) placedZones + zones else placedZones,
+        )
+    }
+
+    /** Returns the jobs with pending tasks that may start now and that do not have all their machines reserved. */
+    private fun waitingJobs(reservedMachines: Map<String, List<Machine>>): List<Job> = context.view.jobs.values.filter {
+        it.pendingCount > reservedMachines[it.id].orEmpty().sumOf { machine -> machine.reservation?.tasks ?: 0 } &&
+            !it.cancelled &&
+            it.retryAtMs <= context.nowMs &&
+            context.scheduling.gangSize.rejectionReason(it.spec) == null
     }
 
     /** Returns the expected task completions per second on spot machines, from the expected run times. */
--- a/src/main/kotlin/flaxfield/gangs/GangReservations.kt
+++ b/src/main/kotlin/flaxfield/gangs/GangReservations.kt
@@ -1,7 +1,6 @@
 package flaxfield.gangs
 
 import flaxfield.NANOS_PER_SECOND
-import flaxfield.arrays.PlacementCandidate
 import flaxfield.controller.ControllerContext
 import flaxfield.fleet.FleetCodec
 import flaxfield.fleet.Machine
@@ -14,20 +13,24 @@
 import flaxfield.store.StoreKeys
 import flaxfield.store.Transaction
 import flaxfield.store.TransactionOutcome
+import flaxfield.store.TransactionSize
 import flaxfield.store.WriteCause
 import org.slf4j.LoggerFactory
 
 /**
- * Reserves machines for gangs in two phases. The first transaction writes a reservation to the machines' records. Once
- * the shard owners have evicted other tasks, a second one commits the gang's placement or releases the machines. Each
- * is a single transaction, so that a gang is placed all-or-nothing.
+ * Reserves machines for gangs, and then commits their placements. Reservations are written to the machines' records, in
+ * as many transactions as the limits require. Once all are in the view and the shard owners have evicted other tasks, a
+ * single transaction commits the gang's placement, so that a gang is placed all-or-nothing.
+ *
+ * No reservation outlives its purpose: it is void under another term, and once its gang is cancelled, finished or placed
+ * ([flaxfield.store.ClusterView.activeReservation]). The leader releases the others if the plan can't be completed.
  */
 class GangReservations(
     private val context: ControllerContext,
     private val candidates: GangCandidates,
     private val backoff: GangBackoffQueue,
 ) {
-    /** The monotonic time at which a gang's reservation was first seen in the view, by gang id. */
+    /** The monotonic time at which all of a gang's machines were first seen reserved in the view, by gang id. */
     private val reservedSinceNs = HashMap<String, Long>()
 
     /**
@@ -36,97 +39,137 @@
      */
     private val inFlight = HashMap<String, List<String>>()
 
+    /** The plans of the gangs that are being reserved, by gang id. */
+    private val plans = HashMap<String, ReservationPlan>()
+
     /** Removes all state, since this controller is no longer the leader. */
     fun clear() {
         reservedSinceNs.clear()
         inFlight.clear()
+        plans.clear()
     }
 
     /** Returns the machines with an active reservation, by the id of the gang that they are reserved for. */
     fun activeByGang(): Map<String, List<Machine>> {
         val view = context.view
-        val machines = view.reservedMachines.mapNotNull { view.machines[it] }.filter {
-            view.activeReservation(it) !=
-                null
-        }
+        val machines = view.reservedMachines.mapNotNull { view.machines[it] }
+            .filter { view.activeReservation(it) != null }
         val byGang = machines.groupBy { it.reservation?.job.orEmpty() }
         reservedSinceNs.keys.retainAll(byGang.keys)
+        plans.keys.removeIf { it !in byGang && it !in inFlight }
         return byGang
     }
 
     /** Whether a write of the gang's reservation is in flight. */
     fun isInFlight(gangId: String): Boolean = gangId in inFlight
 
+    /** Returns the machines that plans need and that are not reserved yet. */
+    fun plannedMachines(): Set<String> = plans.values.flatMapTo(HashSet()) { it.tasksByMachine.keys }
+
     /** Removes the in-flight reservations whose machine records have no pending writes any more. */
     fun removeCompleted() {
         inFlight.values.removeIf { names -> names.none(::isMachineWritePending) }
     }
 
-    /** Writes a reservation of [placement]'s machines for [gang]. Backs off if it is too large for one transaction. */
+    /** Starts to reserve [placement]'s machines for [gang]; [complete] reserves those beyond one transaction. */
     fun reserve(gang: Job, placement: GangPlacementResult.Feasible, evict: Boolean, cycle: GangSchedulingCycle) {
-        val tasksByMachine = placement.candidates.values.groupingBy { it.machine }.eachCount()
-        if (tasksByMachine.size > context.settings.stateLimits.txnOps) {
-            return backoff.backOff(gang, GangBackoffReason.TransactionTooLarge)
+        val tasksByMachine = placement.tasksByCandidate().entries.associate { it.key.machine.name to it.value }
+        val plan = ReservationPlan(gang.id, gang.nextGangAttempt(), tasksByMachine, evict, context.nowNs)
+        if (submit(plan, plan.missing(emptySet()), cycle.term)) {
+            plans[gang.id] = plan
+            cycle.exclude(tasksByMachine.keys)
+        } else {
+            placement.release(gang.spec)
         }
-        val names = tasksByMachine.keys.map { it.name }
-        val transaction = reservationTransaction(gang, tasksByMachine, evict, cycle.term)
+    }
+
+    /** Reserves as many of the [missing] machines of [plan] as fit into one transaction. Returns whether it was sent. */
+    private fun submit(plan: ReservationPlan, missing: List<String>, term: ULong): Boolean {
+        val batch = missing.take(maxBatch()).mapNotNull { context.view.machines[it] }
+        val transaction = reservationTransaction(plan, batch, term)
+        val names = batch.map { it.name }
         val sent = context.transactions.submit(WriteCause.GANG, transaction) { outcome ->
             log.info(
-                "event=gang_reserved term={} job={} machines={} evict={} outcome={}",
-                cycle.term,
-                gang.id,
+                "event=gang_reserved term={} job={} machines={} remaining={} evict={} outcome={}",
+                term,
+                plan.gangId,
                 names,
-                evict,
+                missing.size - batch.size,
+                plan.evict,
                 outcome,
             )
         }
         if (sent) {
-            inFlight[gang.id] = names
-            cycle.exclude(names.toHashSet())
+            inFlight[plan.gangId] = names
         } else {
-            placement.release(gang.spec)
-            log.debug("event=gang_reservation_deferred job={} reason=write_budget", gang.id)
+            log.debug("event=gang_reservation_deferred job={} reason=write_budget", plan.gangId)
         }
+        return sent
     }
 
-    private fun reservationTransaction(gang: Job, tasks: Map<Machine, Int>, evict: Boolean, term: ULong): Transaction {
+    private fun maxBatch(): Int = context.transactions.budget.maxBulkChanges(context.settings.stateLimits.txnOps)
+
+    private fun reservationTransaction(plan: ReservationPlan, machines: List<Machine>, term: ULong): Transaction {
         val conditions = HashMap(JobTransactions.assignmentFence(context))
-        val changes = tasks.map { (machine, count) ->
+        val changes = machines.map { machine ->
             conditions[StoreKeys.MACHINE + machine.name] = machine.version
-            val reservation = MachineReservation(gang.id, term, count, evict, gang.nextGangAttempt())
+            val tasks = plan.tasksByMachine.getValue(machine.name)
+            val reservation = MachineReservation(plan.gangId, term, tasks, plan.evict, plan.attempt)
             Change.Put(StoreKeys.MACHINE + machine.name, FleetCodec.encode(machine.copy(reservation = reservation)))
         }
         return Transaction(conditions, changes)
     }
 
     /**
-     * Commits the gang's placement on its reserved [machines] if it fits there now. Releases them if it can never fit,
-     * or if the preempted tasks have not terminated in time.
+     * Reserves further machines if the plan of the gang needs them, or else commits the gang's placement on its reserved
+     * [machines] if it fits there now. Releases them if it can never fit, or if there is no progress for too long.
      */
     fun complete(gangId: String, machines: List<Machine>, usage: TeamUsage, term: ULong) {
         if (machines.any { isMachineWritePending(it.name) } ||
+            inFlight[gangId].orEmpty().any(::isMachineWritePending) ||
             context.transactions.isWritePending(StoreKeys.JOB + gangId)
         ) {
             return
         }
         val gang = context.view.jobs[gangId]
         if (gang == null || !context.transactions.mayWrite(WriteCause.GANG, 1)) return
-        val reservedAtNs = reservedSinceNs.getOrPut(gangId) { context.nowNs }
+        val plan = plans[gangId]?.takeIf { it.isFor(gang) }
+        val missing = plan?.missing(machines.mapTo(HashSet()) { it.name }).orEmpty()
+        if (plan != null && missing.isNotEmpty()) return extend(plan, gang, machines, missing, term)
+        place(gang, machines, usage, term)
+    }
+
+    /** Reserves the next of the [missing] machines, or releases those that are [reserved] if it can't. */
+    private fun extend(plan: ReservationPlan, gang: Job, reserved: List<Machine>, missing: List<String>, term: ULong) {
+        val waitedNs = plan.observe(reserved.size, context.nowNs)
+        val areOpen = missing.all { name -> context.view.machines[name]?.let(candidates::isOpen) ?: false }
+        if (!areOpen || waitedNs > timeoutNs(gang)) {
+            releaseAndBackOff(gang, reserved, GangBackoffReason.ReservedCapacityUnavailable)
+        } else {
+            submit(plan, missing, term)
+        }
+    }
+
+    private fun place(gang: Job, machines: List<Machine>, usage: TeamUsage, term: ULong) {
+        val reservedAtNs = reservedSinceNs.getOrPut(gang.id) { context.nowNs }
         val usable = candidates.fromReserved(machines)
         val result = GangPlacement.place(gang, usable, context.nowMs)
-        if (result is GangPlacementResult.Feasible) return commit(gang, result.candidates, machines, usage, term)
-        val heartbeatIntervalS = context.settings.workers.heartbeatIntervalS
-        val timeoutNs =
-            (heartbeatIntervalS * EVICTION_HEARTBEATS + gang.spec.checkpointDurationS) * NANOS_PER_SECOND
+        if (result is GangPlacementResult.Feasible) return commit(gang, result, machines, usage, term)
         val cannotFit = usable.size < machines.size || machines.none { it.reservation?.evict == true }
-        if (cannotFit || context.nowNs - reservedAtNs > timeoutNs) {
+        if (cannotFit || context.nowNs - reservedAtNs > timeoutNs(gang)) {
             releaseAndBackOff(gang, machines, GangBackoffReason.ReservedCapacityUnavailable)
         }
     }
 
+    /** How long reservations are kept without progress: preempted tasks must have left by then. */
+    private fun timeoutNs(gang: Job): Long {
+        val evictionS = context.settings.workers.heartbeatIntervalS * EVICTION_HEARTBEATS
+        return ((evictionS + gang.spec.checkpointDurationS) * NANOS_PER_SECOND).toLong()
+    }
+
     private fun commit(
         gang: Job,
-        placement: Map<Int, PlacementCandidate>,
+        placement: GangPlacementResult.Feasible,
         machines: List<Machine>,
         usage: TeamUsage,
         term: ULong,
@@ -137,15 +180,17 @@
         }
         if (team.hasLimit && context.transactions.isWritePending(StoreKeys.QUOTA_FENCE + team.name)) return
         val attempt = gang.nextGangAttempt()
-        val targets = placement.mapValues { (_, candidate) -> candidate.target() }
+        val targets = placement.candidates.mapValues { (_, candidate) -> candidate.target() }
         val transaction = placementTransaction(gang, gang.place(targets, attempt), machines, team, term)
-        if (transaction.changes.size > context.settings.stateLimits.txnOps) {
+        val violation = context.transactions.violation(transaction)
+        if (violation != null) {
+            log.info("event=gang_commit_deferred job={} reason={}", gang.id, violation)
             return releaseAndBackOff(gang, machines, GangBackoffReason.TransactionTooLarge)
         }
-        usage.add(team.name, gang.spec.taskResources * gang.spec.taskCount)
-        context.transactions.submit(WriteCause.GANG, transaction) { outcome ->
+        val sent = context.transactions.submit(WriteCause.GANG, transaction) { outcome ->
             logCommit(gang, placement, attempt, term, outcome)
         }
+        if (sent) usage.add(team.name, gang.spec.taskResources * gang.spec.taskCount)
     }
 
     private fun placementTransaction(
@@ -158,19 +203,31 @@
         val base = JobTransactions.update(gang, placed, term)
         val conditions = HashMap(base.conditions)
         val changes = ArrayList(base.changes)
-        // Placing the attempt invalidates its reservation, so that the machines' records need not be rewritten.
-        for (machine in machines) conditions[StoreKeys.MACHINE + machine.name] = machine.version
         if (team.hasLimit) {
             val fenceKey = StoreKeys.QUOTA_FENCE + team.name
             conditions[fenceKey] = context.view.version(fenceKey)
             changes += Change.Put(fenceKey, mapOf("job" to gang.id))
         }
-        return Transaction(conditions, changes)
+        // Placing the attempt invalidates its reservation, so that the machines' records need not be rewritten. While
+        // the reservation is active, only the leader of this term writes a machine's record. Machines beyond the limit
+        // on conditions are therefore fenced by the term alone.
+        val transaction = Transaction(conditions, changes)
+        val maxMachines = context.settings.stateLimits.maxConditions - conditions.size
+        var freeBytes = TransactionSize.freeBytes(transaction)
+        val fenced = machines.take(maxMachines).takeWhile { machine ->
+            freeBytes -= TransactionSize.conditionBytes(StoreKeys.MACHINE + machine.name)
+            freeBytes >= 0
+        }
+        return transaction.copy(
+            conditions = conditions + fenced.associate {
+                StoreKeys.MACHINE + it.name to it.version
+            },
+        )
     }
 
     private fun logCommit(
         gang: Job,
-        placement: Map<Int, PlacementCandidate>,
+        placement: GangPlacementResult.Feasible,
         attempt: Long,
         term: ULong,
         outcome: TransactionOutcome,
@@ -179,7 +236,7 @@
             log.info("event=gang_commit_failed term={} job={} outcome={}", term, gang.id, outcome)
             return
         }
-        for ((task, candidate) in placement) {
+        for ((task, candidate) in placement.candidates) {
             log.info(
                 "event=gang_placed term={} job={} task={} attempt={} machine={}",
                 term,
@@ -191,16 +248,25 @@
         }
     }
 
+    /** Releases as many of [machines] as fit into one transaction; the next cycle releases the others. */
     private fun releaseAndBackOff(gang: Job, machines: List<Machine>, reason: GangBackoffReason) {
+        plans.remove(gang.id)
         val conditions = HashMap(JobTransactions.assignmentFence(context))
-        val changes = machines.take(context.settings.stateLimits.txnOps).map { machine ->
+        val changes = machines.take(maxBatch()).map { machine ->
             conditions[StoreKeys.MACHINE + machine.name] = machine.version
             Change.Put(StoreKeys.MACHINE + machine.name, FleetCodec.encode(machine.copy(reservation = null)))
         }
-        if (context.transactions.submit(WriteCause.GANG, Transaction(conditions, changes))) {
-            log.info("event=gang_reservation_released job={} reason={}", gang.id, reason)
+        val sent = context.transactions.submit(WriteCause.GANG, Transaction(conditions, changes)) { outcome ->
+            log.info(
+                "event=gang_reservation_released job={} machines={} reason={} outcome={}",
+                gang.id,
+                changes.size,
+                reason,
+                outcome,
+            )
         }
-        backoff.backOff(gang, reason)
+        // Without the write, the reservations stay in the view, and the next cycle decides again.
+        if (sent && !backoff.isBackingOff(gang)) backoff.backOff(gang, reason)
     }
 
     private fun isMachineWritePending(machineName: String) =
--- a/src/main/kotlin/flaxfield/gangs/GangScheduler.kt
+++ b/src/main/kotlin/flaxfield/gangs/GangScheduler.kt
@@ -32,13 +32,16 @@
         reservations.removeCompleted()
         // Checked before any gang is considered: without write budget no attempt could be written.
         if (!context.transactions.mayWrite(WriteCause.GANG, 1)) return
-        val waiting = gangs.filter { it.id !in reserved && isWaiting(it) }
-        backoff.retain(waiting.mapTo(HashSet()) { it.id })
+        val pending = gangs.filter { it.id !in reserved && isWaiting(it) }
+        backoff.retain(pending.mapTo(HashSet()) { it.id })
+        val waiting = pending.filter(::fitsOneTransaction)
         if (waiting.isEmpty()) return
         val shapes = candidates.distinctShapes(waiting)
         if (!backoff.isAnyDue(waiting) { candidates.countFreeTasks(shapes) }) return
         backoff.scheduleNextCheck()
-        schedule(waiting, GangSchedulingCycle(context, candidates.forShapes(shapes), usage, guaranteed, term))
+        val cycle = GangSchedulingCycle(context, candidates.forShapes(shapes), usage, guaranteed, term)
+        cycle.exclude(reservations.plannedMachines())
+        schedule(waiting, cycle)
     }
 
     /** Whether [gang] waits for machines and has no write in flight. */
@@ -50,6 +53,13 @@
         !context.transactions.isWritePending(StoreKeys.JOB + gang.id) &&
         GangPlacement.hasAllMembers(gang)
 
+    /** Whether [gang] can be placed by one transaction. An earlier build may have accepted one that can't. */
+    private fun fitsOneTransaction(gang: Job): Boolean {
+        if (context.scheduling.gangSize.rejectionReason(gang.spec) == null) return true
+        if (!backoff.isBackingOff(gang)) backoff.backOff(gang, GangBackoffReason.TransactionTooLarge)
+        return false
+    }
+
     /** Attempts to place [waiting] in scheduling order, preceded by the large gang that machines are reserved for. */
     private fun schedule(waiting: List<Job>, cycle: GangSchedulingCycle) {
         val overdueBeforeMs = LargeGangReservation.overdueBeforeMs(context.nowMs)
--- a/src/main/kotlin/flaxfield/jobs/JobSubmitter.kt
+++ b/src/main/kotlin/flaxfield/jobs/JobSubmitter.kt
@@ -46,7 +46,12 @@
         if (context.view.machineTypes.isEmpty()) {
             return responder.send(JobResponse.Unavailable("machine types are not known yet"))
         }
-        val rejection = JobAdmission.rejectionReason(spec, context.settings.teams, context.view.machineTypes)
+        val rejection = JobAdmission.rejectionReason(
+            spec,
+            context.settings.teams,
+            context.view.machineTypes,
+            context.scheduling.gangSize,
+        )
         if (rejection != null) return reject(spec, rejection, responder)
         if (context.storeContact.isUnreachable(context.settings.workers.leaseS)) {
             return responder.send(JobResponse.Unavailable(STORE_UNREACHABLE))
--- a/src/main/kotlin/flaxfield/operator/JobExplainer.kt
+++ b/src/main/kotlin/flaxfield/operator/JobExplainer.kt
@@ -4,6 +4,7 @@
 import flaxfield.drain.FleetSnapshot
 import flaxfield.drain.FleetZoneRules
 import flaxfield.jobs.FinishedJob
+import flaxfield.jobs.GangTransactionSize
 import flaxfield.jobs.Job
 import flaxfield.jobs.Placement
 import flaxfield.operator.v1.JobExplanation
@@ -22,6 +23,7 @@
 class JobExplainer(
     private val snapshot: FleetSnapshot,
     private val teams: Map<String, Team>,
+    private val gangSize: GangTransactionSize,
     private val nowMs: Long,
 ) {
     private val placement = PlacementExplainer(snapshot, nowMs)
@@ -61,7 +63,7 @@
                 "${job.failureCount} failures on ${job.failedMachines.size} machines: " +
                     "the job is in a crash loop and retried less often",
             )
-            else -> limitedByQuota(job) ?: placement.explain(job)
+            else -> tooLarge(job) ?: limitedByQuota(job) ?: placement.explain(job)
         }
     }
 
@@ -85,6 +87,10 @@
         return status?.health == MachineHealth.OK && status.incarnation == placement.incarnation
     }
 
+    /** Returns a reason for a gang that no transaction can start, which an earlier build has accepted. */
+    private fun tooLarge(job: Job): JobReason? =
+        gangSize.rejectionReason(job.spec)?.let { JobReason("too_large", "$it; it waits until it is cancelled") }
+
     private fun limitedByQuota(job: Job): JobReason? {
         val needed = if (job.isGang) job.spec.taskCount else 1
         val allowed = TeamUsage(snapshot.jobs.values, teams).remainingTasks(job.spec.team, job.spec.taskResources)
--- a/src/main/kotlin/flaxfield/operator/OperatorService.kt
+++ b/src/main/kotlin/flaxfield/operator/OperatorService.kt
@@ -7,6 +7,7 @@
 import flaxfield.drain.FleetSnapshot
 import flaxfield.drain.LedgerLimits
 import flaxfield.drain.Selector
+import flaxfield.jobs.GangTransactionSize
 import flaxfield.jobs.JobCodec
 import flaxfield.operator.v1.AbandonZoneRequest
 import flaxfield.operator.v1.BudgetList
@@ -99,7 +100,12 @@
 
     private fun explain(snapshot: FleetSnapshot, id: String): JobExplanation {
         val job = snapshot.jobs[id] ?: throw CallStatus.notFound("no job $id")
-        return JobExplainer(snapshot, settings.teams, clock.wallClockMs()).explain(job)
+        return JobExplainer(
+            snapshot,
+            settings.teams,
+            GangTransactionSize(settings.stateLimits),
+            clock.wallClockMs(),
+        ).explain(job)
     }
 
     private fun explainFinished(id: String, result: FinishedJobResult, observer: StreamObserver<JobExplanation>) {
--- a/src/main/kotlin/flaxfield/settings/Settings.kt
+++ b/src/main/kotlin/flaxfield/settings/Settings.kt
@@ -34,7 +34,14 @@
 )
 
 /** Limits of the state service: requests and writes per second, KiB per value, and operations per transaction. */
-data class StateLimits(val rps: Double, val writeRps: Double, val valueKb: Double, val txnOps: Int)
+data class StateLimits(val rps: Double, val writeRps: Double, val valueKb: Double, val txnOps: Int) {
+    /** PROTOCOL-flaxfield.md: a transaction may have four times as many conditions as changes. */
+    val maxConditions: Int get() = txnOps * CONDITIONS_PER_CHANGE
+
+    private companion object {
+        const val CONDITIONS_PER_CHANGE = 4
+    }
+}
 
 /**
  * The platform's settings file, parsed and validated.
--- a/src/main/kotlin/flaxfield/store/TransactionSize.kt
+++ b/src/main/kotlin/flaxfield/store/TransactionSize.kt
@@ -11,9 +11,6 @@
     private const val MAX_TRANSACTION_BYTES = 64 * BYTES_PER_KIB
     private const val MAX_KEY_BYTES = 200
 
-    /** The limit on conditions, as a multiple of the limit on changes. */
-    private const val CONDITIONS_PER_CHANGE = 4
-
     /** The bytes of the field names and punctuation of one condition or change. */
     private const val OVERHEAD_BYTES = 40
     private const val NULL_BYTES = 4
@@ -34,23 +31,36 @@
 
     /** Returns the limit that [transaction] exceeds, with the measured size; null if it is within all limits. */
     fun violation(transaction: Transaction, limits: StateLimits): String? {
-        var total = transaction.conditions.keys.sumOf { it.length + OVERHEAD_BYTES }
         for (change in transaction.changes) {
             val valueBytes = if (change is Change.Put) jsonBytes(change.value) else 0
             if (valueBytes > limits.valueKb * BYTES_PER_KIB) return "value_too_large:${change.key}:$valueBytes"
             if (change.key.length > MAX_KEY_BYTES) return "key_too_long:${change.key}"
-            total += valueBytes + change.key.length + OVERHEAD_BYTES
         }
+        val total = bytes(transaction)
         val changes = transaction.changes.size
         val conditions = transaction.conditions.size
         return when {
             changes > limits.txnOps -> "too_many_changes:$changes"
-            conditions > limits.txnOps * CONDITIONS_PER_CHANGE -> "too_many_conditions:$conditions"
+            conditions > limits.maxConditions -> "too_many_conditions:$conditions"
             total > MAX_TRANSACTION_BYTES -> "transaction_too_large:$total"
             else -> null
         }
     }
 
+    /** Returns the bytes that further conditions of [transaction] may take. */
+    fun freeBytes(transaction: Transaction): Int = (MAX_TRANSACTION_BYTES - bytes(transaction)).coerceAtLeast(0)
+
+    private fun bytes(transaction: Transaction): Int =
+        transaction.conditions.keys.sumOf(::conditionBytes) + transaction.changes.sumOf(::changeBytes)
+
+    /** Returns the size of a condition on [key] in bytes. */
+    fun conditionBytes(key: String): Int = key.length + OVERHEAD_BYTES
+
+    private fun changeBytes(change: Change): Int {
+        val valueBytes = if (change is Change.Put) jsonBytes(change.value) else 0
+        return valueBytes + change.key.length + OVERHEAD_BYTES
+    }
+
     /** Returns the size of [value] as JSON in bytes; an upper bound if a string contains characters to escape. */
     fun jsonBytes(value: Any?): Int = when (value) {
         null -> NULL_BYTES
--- a/src/test/kotlin/flaxfield/sim/LargeJobsTest.kt
+++ b/src/test/kotlin/flaxfield/sim/LargeJobsTest.kt
@@ -6,12 +6,14 @@
 import flaxfield.jobs.Resources
 import flaxfield.settings.StateLimits
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import org.junit.jupiter.params.provider.ValueSource
 
 /**
- * Gangs of hundreds of tasks. The limits are those of a site; the sizes of messages and transactions are checked against PROTOCOL-flaxfield.md.
+ * Gangs of hundreds of tasks, and gangs on more machines than a transaction may change. The limits are those of a site;
+ * the sizes of messages and transactions are checked against PROTOCOL-flaxfield.md.
  */
 class LargeJobsTest {
     private class Scenario(seed: Int, machinesPerZone: Int, operatorLimits: StateLimits = LIMITS) {
@@ -31,6 +33,21 @@
             return user
         }
 
+        /** Calls [action] as soon as [machines] machines are reserved for a gang. */
+        fun onReservations(machines: Int, action: () -> Unit) {
+            var isDone = false
+            cluster.store.onCommit = {
+                if (!isDone && reservedMachines().size >= machines) {
+                    isDone = true
+                    cluster.loop.after(1, action)
+                }
+            }
+        }
+
+        fun reservedMachines(): List<String> = cluster.store.values(MACHINES)
+            .filterValues { (it as Map<*, *>)["claim"] != null }
+            .keys.map { it.removePrefix(MACHINES) }
+
         fun run(endS: Double = END_S) {
             cluster.checkInvariantsPeriodically(FAULTS_END_S)
             cluster.loop.runUntil(endS)
@@ -87,9 +104,39 @@
         assertEquals(listOf(expected, expected), gangs.map { cluster.invariants.reportedPhase(it.spec.id) })
     }
 
+    /** Guards against review case 7: a gang on more machines than a transaction may change was accepted and never started. */
+    @ParameterizedTest
+    @CsvSource("7, none", "8, cancelled", "9, machine-lost", "10, leader-lost", "11, leader-lost", "12, store-rejects-leader")
+    fun `a gang on more machines than a transaction may change starts, and leaves no reservation behind`(seed: Int, fault: String) {
+        val scenario = Scenario(seed, machinesPerZone = 30)
+        val gang = scenario.submitAt(5.0, wholeMachines("job-1", 40))
+        // Needs all machines, so that a reservation left behind would keep it waiting.
+        scenario.submitAt(60.0, wholeMachines("job-2", 60))
+        val cluster = scenario.cluster
+        var reserved = 0
+        scenario.onReservations(machines = 2) {
+            reserved = scenario.reservedMachines().size
+            when (fault) {
+                "cancelled" -> gang.cancel()
+                "machine-lost" -> cluster.cloud.workers.getValue(scenario.reservedMachines().last()).terminate()
+                "leader-lost" -> cluster.kill(cluster.leader, 0.5)
+                "store-rejects-leader" -> {
+                    val leader = cluster.leader
+                    cluster.store.setRejected(leader, true)
+                    scenario.schedule.at(10.0) { cluster.store.setRejected(leader, false) }
+                }
+            }
+        }
+        scenario.run()
+        assertTrue(reserved in 2 until 40, "$reserved machines were reserved when the fault began")
+        assertEquals(if (fault == "cancelled") "aborted" else "done", cluster.invariants.reportedPhase("job-1"))
+        assertEquals("done", cluster.invariants.reportedPhase("job-2"))
+    }
+
     private companion object {
         /** The limits of firma-andina-ops. */
         val LIMITS = StateLimits(rps = 150.0, writeRps = 30.0, valueKb = 32.0, txnOps = 24)
+        const val MACHINES = "live/host/"
         const val FAULTS_END_S = 50.0
         const val END_S = 330.0
     }
